--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,85 @@
+// Package admit decides which requests run at one upstream, which wait and
+// which are refused. The Gate combines an admission level, a concurrency limit
+// and a queue that is ordered by priority and bounded by deadlines. Levels
+// combines the levels that gates report, so that an entrance can refuse early.
+//
+// Time is passed in. All types are safe for concurrent use; the slices that
+// the methods return belong to the caller.
+package admit
+
+import (
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// Config holds the parameters of a Gate. A zero field takes its default.
+type Config struct {
+	Slots       int           // declared concurrency of the upstream; default 16
+	MinLimit    int           // lower bound of the limit; default 1
+	MaxLimit    int           // upper bound of the limit; default 4 x Slots
+	MaxQueue    int           // entries; default 4 x Slots, at least 16 and at most 1024
+	QueueTarget time.Duration // mean queue wait above which the level rises; default 20 ms
+	Period      time.Duration // interval between two changes of the level; default 100 ms
+	StreamShare float64       // largest part of the limit for streamed bodies; default 0.5
+	Fixed       bool          // keeps the limit at Slots
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Slots, 16)
+	setDefault(&c.MinLimit, 1)
+	setDefault(&c.MaxLimit, 4*c.Slots)
+	setDefault(&c.MaxQueue, min(max(4*c.Slots, 16), 1024))
+	setDefault(&c.QueueTarget, 20*time.Millisecond)
+	setDefault(&c.Period, 100*time.Millisecond)
+	setDefault(&c.StreamShare, 0.5)
+	return c
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Request is one arrival at a gate.
+type Request struct {
+	ID       uint64 // unique among the requests that the gate holds
+	Priority chain.Priority
+	Deadline time.Time // the zero time means no deadline
+	Stream   bool      // the request carries a streamed upload
+	Route    string    // groups requests of similar service time
+}
+
+// Result describes a request that has run.
+type Result struct {
+	Own time.Duration // service time without the waits on calls below; 0 if unknown
+	OK  bool          // false if the upstream failed or did not answer in time
+}
+
+// ActionKind tells what to do with a request.
+type ActionKind uint8
+
+// The kinds of action.
+const (
+	Run    ActionKind = iota // forward the request to the upstream, then call Finish
+	Refuse                   // answer with Failure; the gate has forgotten the request
+)
+
+// Action is a decision on one request. Each request that arrived gets exactly
+// one action, unless Cancel removed it from the queue first.
+type Action struct {
+	Kind       ActionKind
+	ID         uint64
+	Failure    *chain.Failure // of a refusal; its outcome is always not-run
+	RetryAfter time.Duration  // of a refusal that may be retried by the caller
+}
+
+// Report is the state that a gate attaches to each answer.
+type Report struct {
+	Level    chain.Priority // lowest priority that is admitted
+	Limit    int            // concurrency limit
+	InFlight int
+	Queued   int
+	Below    chain.Priority // highest level seen on calls below, set by the binding
+}
--- /dev/null
+++ b/core/admit/dispatch.go
@@ -0,0 +1,253 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// floorPeriods is the number of periods that a floor holds.
+const floorPeriods = 2
+
+// floor keeps lower classes out after a request of a higher class was refused
+// for lack of room: without it, the next free place in the queue would go to
+// whoever arrives first.
+type floor struct {
+	class   chain.Class
+	periods int
+}
+
+func (f floor) level() chain.Priority { return f.class.MinPriority() }
+
+func (g *Gate) queueOf(stream bool) *queue {
+	if stream {
+		return &g.streams
+	}
+	return &g.plain
+}
+
+// streamLimit is the number of streamed uploads that may run at once. It is at
+// least one, or a service with a limit of one would accept no upload.
+func (g *Gate) streamLimit() int {
+	return max(1, int(float64(g.limiter.limit)*g.cfg.StreamShare))
+}
+
+func (g *Gate) canRun(stream bool) bool {
+	if g.running >= g.limiter.limit {
+		return false
+	}
+	return !stream || g.uploads < g.streamLimit()
+}
+
+func (g *Gate) saturated() bool {
+	return g.running >= g.limiter.limit || g.plain.size > 0
+}
+
+// newEntry takes a recycled entry if there is one.
+func (g *Gate) newEntry(now time.Time, r Request, route *routeTime) *entry {
+	e := g.free
+	if e == nil {
+		e = &entry{}
+	} else {
+		g.free = e.next
+	}
+	*e = entry{req: r, arrived: now, route: route}
+	g.entries[r.ID] = e
+	return e
+}
+
+func (g *Gate) forget(e *entry) {
+	delete(g.entries, e.req.ID)
+	*e = entry{next: g.free}
+	g.free = e
+}
+
+func (g *Gate) run(now time.Time, e *entry) Action {
+	e.running = true
+	e.started = now
+	g.running++
+	if e.req.Stream {
+		g.uploads++
+	} else {
+		g.level.wait(now.Sub(e.arrived)) // uploads wait for their share, which is no overload
+	}
+	if g.running >= g.limiter.limit {
+		g.level.wasFull = true
+	}
+	g.limiter.start(e, g.saturated())
+	return Action{Kind: Run, ID: e.req.ID}
+}
+
+// dispatch starts queued requests while the limit allows, by priority.
+func (g *Gate) dispatch(now time.Time, actions []Action) []Action {
+	for {
+		e := g.nextToRun()
+		if e == nil {
+			return actions
+		}
+		g.queueOf(e.req.Stream).remove(e)
+		if g.late(now, e) {
+			actions = g.dropLate(now, e, actions)
+			continue
+		}
+		actions = append(actions, g.run(now, e))
+	}
+}
+
+func (g *Gate) nextToRun() *entry {
+	if !g.canRun(false) {
+		return nil
+	}
+	e := g.plain.first()
+	if !g.canRun(true) {
+		return e
+	}
+	if s := g.streams.first(); s != nil && (e == nil || s.req.Priority >= e.req.Priority) {
+		return s
+	}
+	return e
+}
+
+// late reports whether an entry has less time left than its service takes.
+func (g *Gate) late(now time.Time, e *entry) bool {
+	return !e.req.Deadline.IsZero() && !e.route.feasible(e.req.Deadline.Sub(now))
+}
+
+// expire refuses queued entries that can no longer finish in time.
+func (g *Gate) expire(now time.Time, actions []Action) []Action {
+	highest := chain.Sheddable
+	g.eachQueued(func(e *entry) {
+		if !g.late(now, e) {
+			return
+		}
+		g.queueOf(e.req.Stream).remove(e)
+		if !e.req.Stream {
+			highest = max(highest, e.req.Priority.Class())
+		}
+		actions = append(actions, g.refuseLate(now, e))
+	})
+	return g.raiseFloor(highest, actions)
+}
+
+// refuseLate refuses an entry that has left the queue because its time ran
+// out, which is a lack of capacity unless it waited for the upload share.
+func (g *Gate) refuseLate(now time.Time, e *entry) Action {
+	if !e.req.Stream {
+		g.level.noRoom++
+		g.level.wait(now.Sub(e.arrived))
+	}
+	f := chain.NewFailure(chain.NotRun, chain.ReasonDeadline, "the deadline would pass before the end of the service")
+	a := refuse(e.req, f)
+	g.forget(e)
+	return a
+}
+
+// dropLate refuses a late entry that dispatch found at the head of the queue.
+func (g *Gate) dropLate(now time.Time, e *entry, actions []Action) []Action {
+	class := e.req.Priority.Class()
+	if e.req.Stream {
+		class = chain.Sheddable
+	}
+	actions = append(actions, g.refuseLate(now, e))
+	return g.raiseFloor(class, actions)
+}
+
+// enqueue queues an entry, or refuses the lowest one if there is no room.
+func (g *Gate) enqueue(now time.Time, e *entry, actions []Action) []Action {
+	q := g.queueOf(e.req.Stream)
+	q.push(e)
+	for g.overfull(e.req.Stream) {
+		last := g.lowest(e.req.Stream)
+		class := last.req.Priority.Class()
+		g.level.noRoom++
+		f := chain.NewFailure(chain.NotRun, chain.ReasonOverload, "the queue is full")
+		upload := last.req.Stream
+		actions = append(actions, g.evict(last, f))
+		if !upload {
+			actions = g.raiseFloor(class, actions)
+		}
+	}
+	return actions
+}
+
+func (g *Gate) overfull(stream bool) bool {
+	if stream && g.streams.size > max(1, int(float64(g.cfg.MaxQueue)*g.cfg.StreamShare)) {
+		return true
+	}
+	return g.plain.size+g.streams.size > g.cfg.MaxQueue
+}
+
+// lowest returns the entry to evict. An upload evicts uploads only while they
+// exceed their part of the queue; otherwise the lowest priority goes.
+func (g *Gate) lowest(stream bool) *entry {
+	s := g.streams.last()
+	e := g.plain.last()
+	if e == nil || (stream && g.plain.size+g.streams.size <= g.cfg.MaxQueue) {
+		return s
+	}
+	if s != nil && s.req.Priority < e.req.Priority {
+		return s
+	}
+	return e
+}
+
+// evict refuses a queued entry.
+func (g *Gate) evict(e *entry, f *chain.Failure) Action {
+	a := refuse(e.req, f)
+	g.queueOf(e.req.Stream).remove(e)
+	g.forget(e)
+	return a
+}
+
+// raiseFloor refuses the queued work of the classes below and keeps them out
+// for floorPeriods periods.
+func (g *Gate) raiseFloor(class chain.Class, actions []Action) []Action {
+	if class == chain.Sheddable || class < g.floor.class {
+		return actions // no class is below, or the floor is higher already
+	}
+	g.floor = floor{class: class, periods: floorPeriods}
+	return g.evictBelow(g.floor.level(), actions)
+}
+
+func (g *Gate) evictBelow(p chain.Priority, actions []Action) []Action {
+	for _, q := range [...]*queue{&g.plain, &g.streams} {
+		for e := q.last(); e != nil && e.req.Priority < p; e = q.last() {
+			f := chain.NewFailure(chain.NotRun, chain.ReasonOverload, "priority below the admission level")
+			actions = append(actions, g.evict(e, f))
+		}
+	}
+	return actions
+}
+
+// endPeriod adapts the level, refuses queued work below it, and ages the floor
+// and the service times.
+func (g *Gate) endPeriod(now time.Time, actions []Action) []Action {
+	oldest := time.Duration(0)
+	g.plain.each(func(e *entry) { oldest = max(oldest, now.Sub(e.arrived)) })
+	g.level.adapt(g.cfg.QueueTarget, oldest, g.plain.size)
+	for _, r := range g.routes {
+		r.decay()
+	}
+	if g.floor.periods--; g.floor.periods <= 0 {
+		g.floor = floor{}
+	}
+	return g.evictBelow(g.level.current, actions)
+}
+
+func (g *Gate) eachQueued(f func(*entry)) {
+	g.plain.each(f)
+	g.streams.each(f)
+}
+
+func refuse(r Request, f *chain.Failure) Action {
+	a := Action{Kind: Refuse, ID: r.ID, Failure: f}
+	if f.RetryableByCaller() {
+		a.RetryAfter = retryAfter(r)
+	}
+	return a
+}
+
+// retryAfter spreads the callers that were refused together over two seconds.
+func retryAfter(r Request) time.Duration {
+	return time.Second + time.Duration(r.Priority%128)*time.Second/128
+}
--- /dev/null
+++ b/core/admit/gate.go
@@ -0,0 +1,152 @@
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// Gate is the admission controller in front of one upstream.
+type Gate struct {
+	mu       sync.Mutex
+	cfg      Config
+	entries  map[uint64]*entry
+	free     *entry // recycled entries
+	plain    queue
+	streams  queue // streamed uploads, which wait for their own share
+	running  int
+	uploads  int // running requests with a streamed upload
+	level    level
+	limiter  limiter
+	routes   routeTable
+	period   time.Time // start of the current period
+	floor    floor
+	draining bool
+}
+
+// New builds a gate.
+func New(cfg Config) *Gate {
+	cfg = cfg.withDefaults()
+	return &Gate{
+		cfg:     cfg,
+		entries: make(map[uint64]*entry),
+		limiter: limiter{limit: cfg.Slots},
+		routes:  make(routeTable),
+	}
+}
+
+// Arrive decides on a new request. It returns nothing if the request is
+// queued, and may refuse another one that was evicted from the queue.
+func (g *Gate) Arrive(now time.Time, r Request) []Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.Priority = min(r.Priority, chain.MaxPriority-1)
+	g.level.arrive(r.Priority)
+	route := g.routes.get(r.Route)
+	if f := g.refusal(now, r, route); f != nil {
+		return []Action{refuse(r, f)}
+	}
+	e := g.newEntry(now, r, route)
+	if g.canRun(r.Stream) && g.queueOf(r.Stream).size == 0 {
+		return []Action{g.run(now, e)}
+	}
+	return g.enqueue(now, e, nil)
+}
+
+// refusal returns the reason why a request may not even wait, or nil.
+func (g *Gate) refusal(now time.Time, r Request, route *routeTime) *chain.Failure {
+	switch {
+	case g.draining:
+		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the upstream is draining")
+	case g.entries[r.ID] != nil:
+		return chain.NewFailure(chain.NotRun, chain.ReasonBadRequest, "request id already held by the gate")
+	case !r.Deadline.IsZero() && !route.feasible(r.Deadline.Sub(now)):
+		return chain.NewFailure(chain.NotRun, chain.ReasonDeadline, "less time left than the service takes")
+	case r.Priority < g.level.current:
+		return chain.NewFailure(chain.NotRun, chain.ReasonOverload, "priority below the admission level")
+	case r.Priority.Class() < g.floor.class:
+		return chain.NewFailure(chain.NotRun, chain.ReasonOverload, "a higher class was refused just before")
+	}
+	return nil
+}
+
+// Finish ends a running request and starts queued ones in its place.
+func (g *Gate) Finish(now time.Time, id uint64, r Result) []Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.entries[id]
+	if e == nil || !e.running {
+		return nil
+	}
+	g.running--
+	if e.req.Stream {
+		g.uploads--
+	}
+	e.route.observe(now.Sub(e.started), r.OK)
+	g.limiter.finish(now, e, r, g.saturated())
+	g.forget(e)
+	return g.dispatch(now, nil)
+}
+
+// Cancel removes a queued request whose caller has left. A running request is
+// ended by Finish.
+func (g *Gate) Cancel(now time.Time, id uint64) []Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.entries[id]
+	if e == nil || e.running {
+		return nil
+	}
+	g.queueOf(e.req.Stream).remove(e)
+	g.forget(e)
+	return g.dispatch(now, nil)
+}
+
+// Tick expires queued work and, at the end of a period, adapts the level and
+// the limit. It is called every 10 ms.
+func (g *Gate) Tick(now time.Time) []Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	actions := g.expire(now, nil)
+	if g.period.IsZero() {
+		g.period = now
+	}
+	if now.Sub(g.period) >= g.cfg.Period {
+		g.period = now
+		actions = g.endPeriod(now, actions)
+	}
+	return g.dispatch(now, actions)
+}
+
+// Drain refuses all queued and all later requests. Running requests go on.
+func (g *Gate) Drain() []Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	var actions []Action
+	g.eachQueued(func(e *entry) {
+		f := chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the upstream is draining")
+		actions = append(actions, g.evict(e, f))
+	})
+	return actions
+}
+
+// InFlight returns the number of running requests.
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running
+}
+
+// Report returns the state that answers carry.
+func (g *Gate) Report(time.Time) Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Report{
+		Level:    max(g.level.current, g.floor.level()),
+		Limit:    g.limiter.limit,
+		InFlight: g.running,
+		Queued:   g.plain.size + g.streams.size,
+	}
+}
--- /dev/null
+++ b/core/admit/levels.go
@@ -0,0 +1,159 @@
+package admit
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+const (
+	// levelHold is the age up to which a reported level is taken in full.
+	levelHold = 200 * time.Millisecond
+	// LevelExpiry is the age at which a reported level has lost all weight. It
+	// stays below the recovery time of 2 s, since a gate that is never asked
+	// cannot report that its level fell.
+	LevelExpiry = 1500 * time.Millisecond
+	// maxSources bounds the upstreams that are remembered per route.
+	maxSources = 16
+	// maxLevelRoutes bounds the number of routes.
+	maxLevelRoutes = 4096
+	// refreshInterval is how long a combined level is reused.
+	refreshInterval = 10 * time.Millisecond
+)
+
+// AgedLevel reduces a reported level by its age. The reduction is gradual, so
+// that a few requests probe a gate before many do.
+func AgedLevel(level chain.Priority, age time.Duration) chain.Priority {
+	if age <= levelHold {
+		return level
+	}
+	if age >= LevelExpiry {
+		return 0
+	}
+	left := float64(LevelExpiry-age) / float64(LevelExpiry-levelHold)
+	return chain.Priority(float64(level) * left)
+}
+
+type source struct {
+	upstream string
+	level    chain.Priority
+	at       time.Time
+}
+
+type routeLevels struct {
+	sources  []source
+	combined chain.Priority
+	computed time.Time
+}
+
+// Levels keeps the levels that several upstreams reported for a route or a
+// service, and combines them into one. The zero value is ready for use.
+type Levels struct {
+	mu     sync.Mutex
+	routes map[string]*routeLevels
+}
+
+// Report stores the level of one upstream: the highest of its own level and of
+// the levels below it.
+func (l *Levels) Report(now time.Time, route, upstream string, r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reported := max(r.Level, r.Below)
+	routes := l.routes[route]
+	if routes == nil {
+		if reported == 0 {
+			return
+		}
+		routes = l.add(now, route)
+	}
+	routes.set(now, upstream, reported)
+}
+
+func (l *Levels) add(now time.Time, route string) *routeLevels {
+	if l.routes == nil {
+		l.routes = make(map[string]*routeLevels)
+	}
+	if len(l.routes) >= maxLevelRoutes {
+		l.purge(now)
+	}
+	r := &routeLevels{}
+	if len(l.routes) < maxLevelRoutes {
+		l.routes[route] = r
+	}
+	return r
+}
+
+func (l *Levels) purge(now time.Time) {
+	for name, r := range l.routes {
+		r.dropExpired(now)
+		if len(r.sources) == 0 {
+			delete(l.routes, name)
+		}
+	}
+}
+
+// Admits reports whether a call to the route with this priority is worth a
+// try. It is monotone in the priority, so it keeps the order of the classes.
+func (l *Levels) Admits(now time.Time, route string, p chain.Priority) bool {
+	return p >= l.Level(now, route)
+}
+
+// Level returns the combined level of a route, 0 if nothing is known.
+func (l *Levels) Level(now time.Time, route string) chain.Priority {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.routes[route]
+	if r == nil {
+		return 0
+	}
+	if age := now.Sub(r.computed); age < 0 || age >= refreshInterval {
+		r.combine(now)
+	}
+	return r.combined
+}
+
+func (r *routeLevels) set(now time.Time, upstream string, level chain.Priority) {
+	r.computed = time.Time{}
+	oldest := 0
+	for i := range r.sources {
+		if r.sources[i].upstream == upstream {
+			r.sources[i] = source{upstream, level, now}
+			return
+		}
+		if r.sources[i].at.Before(r.sources[oldest].at) {
+			oldest = i
+		}
+	}
+	if len(r.sources) < maxSources {
+		r.sources = append(r.sources, source{upstream, level, now})
+		return
+	}
+	r.sources[oldest] = source{upstream, level, now}
+}
+
+func (r *routeLevels) dropExpired(now time.Time) {
+	r.sources = slices.DeleteFunc(r.sources, func(s source) bool {
+		return now.Sub(s.at) >= LevelExpiry
+	})
+}
+
+// combine takes the lower quartile of the aged levels. The balancer prefers
+// upstreams with a low level, so the highest one would refuse work that another
+// upstream admits; the lowest one would let one outdated report admit all.
+func (r *routeLevels) combine(now time.Time) {
+	r.computed = now
+	r.dropExpired(now)
+	if len(r.sources) == 0 {
+		r.combined = 0
+		return
+	}
+	var aged [maxSources]chain.Priority
+	for i, s := range r.sources {
+		aged[i] = AgedLevel(s.level, now.Sub(s.at))
+	}
+	levels := aged[:len(r.sources)]
+	slices.Sort(levels)
+	r.combined = levels[(len(levels)-1)/4]
+}
--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,136 @@
+// Package balance chooses the upstream of a call: the less loaded of two random
+// ones in the nearest tier that has room, with bounded ejection of failing
+// upstreams and a byte budget for links between regions.
+//
+// Time and seeds are passed in. All types are safe for concurrent use.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// Upstream is one member of a service as announced.
+type Upstream struct {
+	ID               string
+	Address          string // peer address of its daemon
+	Region           string
+	AvailabilityZone string
+	Slots            int       // declared concurrency; 0 if unknown
+	UpSince          time.Time // start of the slow start
+	Draining         bool
+}
+
+// Tier is the locality of an upstream as seen from this daemon.
+type Tier uint8
+
+// The tiers, nearest first.
+const (
+	SameAvailabilityZone Tier = iota
+	SameRegion
+	OtherRegion
+	numTiers
+)
+
+var tierNames = [numTiers]string{"availability-zone", "region", "other-region"}
+
+// String returns the name that the decision log uses.
+func (t Tier) String() string {
+	if t < numTiers {
+		return tierNames[t]
+	}
+	return "unknown"
+}
+
+// Config holds the parameters of a Balancer. A zero field takes its default.
+type Config struct {
+	Region           string
+	AvailabilityZone string
+	Links            *Links // nil closes the links to other regions
+	Seed             uint64
+
+	SlowStart        time.Duration // time until a new upstream has its full weight; default 10 s
+	EjectAfter       int           // consecutive failures; default 5
+	EjectTime        time.Duration // first ejection, doubled at each repetition; default 1 s
+	MaxEjectTime     time.Duration // default 60 s
+	LatencyTimeConst time.Duration // of the latency average; default 1 s
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.SlowStart, 10*time.Second)
+	setDefault(&c.EjectAfter, 5)
+	setDefault(&c.EjectTime, time.Second)
+	setDefault(&c.MaxEjectTime, time.Minute)
+	setDefault(&c.LatencyTimeConst, time.Second)
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Request describes the call that needs an upstream.
+type Request struct {
+	Priority chain.Priority
+	Exclude  []string // upstreams tried before
+	Bytes    int64    // expected size of both bodies; 0 takes the average of the service
+	Retry    bool     // a retry or a hedge, which may use only the upper half of a link budget
+}
+
+// Choice is an upstream picked for one attempt. It is passed to Done.
+type Choice struct {
+	Upstream Upstream
+	Tier     Tier
+	Usable   int // upstreams that were candidates in that tier, for the decision log
+	member   *member
+	bytes    int64 // taken from the link budget
+}
+
+// Result describes how an attempt ended.
+type Result struct {
+	Latency time.Duration
+	Outcome chain.Outcome
+	Reason  chain.Reason
+	Deep    bool          // the failure originated further down
+	Report  *admit.Report // nil if the answer carried none
+	Bytes   int64         // body bytes in both directions
+}
+
+// Balancer chooses among the upstreams of one service.
+type Balancer struct {
+	mu       sync.Mutex
+	cfg      Config
+	rng      *rand.Rand
+	members  []*member // ordered by tier
+	ends     [numTiers]int
+	byID     map[string]*member
+	scratch  []*member
+	avgBytes float64
+}
+
+// New builds a Balancer without upstreams.
+func New(cfg Config) *Balancer {
+	cfg = cfg.withDefaults()
+	return &Balancer{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		byID:     make(map[string]*member),
+		avgBytes: 1024,
+	}
+}
+
+func (b *Balancer) tierOf(u Upstream) Tier {
+	switch {
+	case u.Region != b.cfg.Region:
+		return OtherRegion
+	case u.AvailabilityZone != b.cfg.AvailabilityZone:
+		return SameRegion
+	}
+	return SameAvailabilityZone
+}
--- /dev/null
+++ b/core/balance/links.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"sync"
+	"time"
+)
+
+// LinksConfig holds the byte budget of the links to other regions.
+type LinksConfig struct {
+	BytesPerSecond int64            // refill of each link; 0 closes the links
+	Burst          int64            // bytes; default is one second of refill
+	PerRegion      map[string]int64 // bytes per second to a region, instead of BytesPerSecond
+}
+
+// Links holds one token bucket of bytes for each link to another region. It is
+// shared by the balancers of all services.
+type Links struct {
+	mu      sync.Mutex
+	cfg     LinksConfig
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	rate, burst, tokens float64
+	at                  time.Time
+}
+
+// NewLinks builds full buckets.
+func NewLinks(cfg LinksConfig) *Links {
+	return &Links{cfg: cfg, buckets: make(map[string]*bucket)}
+}
+
+func (l *Links) bucket(now time.Time, region string) *bucket {
+	b := l.buckets[region]
+	if b == nil {
+		rate := l.cfg.BytesPerSecond
+		if r, ok := l.cfg.PerRegion[region]; ok {
+			rate = r
+		}
+		burst := l.cfg.Burst
+		if burst <= 0 {
+			burst = rate
+		}
+		b = &bucket{rate: float64(rate), burst: float64(burst), tokens: float64(burst), at: now}
+		l.buckets[region] = b
+	}
+	if dt := now.Sub(b.at).Seconds(); dt > 0 {
+		b.tokens = min(b.burst, b.tokens+dt*b.rate)
+		b.at = now
+	}
+	return b
+}
+
+// take reserves the expected bytes. Retries may use only the upper half of the
+// bucket, so that first attempts keep their share of the link.
+func (l *Links) take(now time.Time, region string, bytes int64, retry bool) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(now, region)
+	left := b.tokens - float64(bytes)
+	if b.rate <= 0 || left < 0 || (retry && left < b.burst/2) {
+		return false
+	}
+	b.tokens = left
+	return true
+}
+
+// settle charges the difference between the expected and the real bytes. The
+// bucket may become negative, so that an underestimate delays later calls.
+func (l *Links) settle(now time.Time, region string, reserved, used int64) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(now, region)
+	b.tokens = min(b.burst, b.tokens-float64(used-reserved))
+}
+
+// Left returns the bytes that the budget of a link allows now.
+func (l *Links) Left(now time.Time, region string) int64 {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.bucket(now, region).tokens)
+}
--- /dev/null
+++ b/core/balance/member.go
@@ -0,0 +1,174 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// member is what the balancer knows of one upstream.
+type member struct {
+	up       Upstream
+	tier     Tier
+	since    time.Time // start of the slow start
+	inFlight int       // attempts of this daemon
+
+	latency   float64 // average in seconds; 0 before the first sample
+	latencyAt time.Time
+
+	failures     int // consecutive
+	ejections    int // consecutive, for the exponential time
+	ejectedUntil time.Time
+	draining     bool // refused with the reason draining since the last announcement
+
+	report   admit.Report
+	reportAt time.Time
+}
+
+// minWeight is the weight at the begin of the slow start. It is above zero, so
+// that a cold upstream gets the calls that warm it up.
+const minWeight = 0.1
+
+// weight rises linearly during the slow start.
+func (m *member) weight(now time.Time, slowStart time.Duration) float64 {
+	age := now.Sub(m.since)
+	if age >= slowStart {
+		return 1
+	}
+	return max(minWeight, float64(age)/float64(slowStart))
+}
+
+func (m *member) ejected(now time.Time) bool { return now.Before(m.ejectedUntil) }
+
+func (m *member) level(now time.Time) chain.Priority {
+	if m.report.Level == 0 {
+		return 0
+	}
+	return admit.AgedLevel(m.report.Level, now.Sub(m.reportAt))
+}
+
+// saturated reports whether the upstream would refuse or queue the call. A
+// report can only add to what this daemon sees itself: an upstream that reports
+// no load keeps the bound of its declared slots.
+func (m *member) saturated(now time.Time, p chain.Priority) bool {
+	if m.level(now) > p {
+		return true
+	}
+	if m.up.Slots > 0 && m.inFlight >= m.up.Slots {
+		return true
+	}
+	fresh := now.Sub(m.reportAt) < admit.LevelExpiry
+	return fresh && m.report.Limit > 0 && m.report.Queued >= m.report.Limit
+}
+
+// cost is the product that the choice compares; fallback is the latency of an
+// upstream without samples, in seconds.
+func (m *member) cost(now time.Time, cfg *Config, fallback float64) float64 {
+	latency := m.latency
+	if latency == 0 {
+		latency = fallback
+	}
+	c := float64(m.inFlight+1) * latency
+	c *= 1 + float64(m.level(now))/float64(chain.MaxPriority)
+	c *= float64(1 + m.failures) // ejection is bounded, this also moves load away from what may not be ejected
+	return c / m.weight(now, cfg.SlowStart)
+}
+
+// observeLatency adds a sample to the average, weighted by the time since the
+// last one, so that the average follows the clock and not the call rate.
+func (m *member) observeLatency(now time.Time, sample float64, timeConst time.Duration) {
+	if m.latency == 0 {
+		m.latency, m.latencyAt = sample, now
+		return
+	}
+	dt := max(now.Sub(m.latencyAt).Seconds(), 0)
+	w := 1 - math.Exp(-dt/timeConst.Seconds())
+	w = max(w, 0.05)
+	m.latency += (sample - m.latency) * w
+	m.latencyAt = now
+}
+
+// SetUpstreams replaces the members of the service. What was learnt of a member
+// that stays is kept.
+func (b *Balancer) SetUpstreams(now time.Time, ups []Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := len(b.byID) == 0
+	byID := make(map[string]*member, len(ups))
+	b.members = b.members[:0]
+	for _, u := range ups {
+		if byID[u.ID] != nil {
+			continue
+		}
+		m := b.byID[u.ID]
+		if m == nil {
+			m = &member{since: now}
+			if first {
+				m.since = u.UpSince // nothing to compare with: trust the announcements
+			}
+		}
+		b.update(now, m, u)
+		byID[u.ID] = m
+		b.members = append(b.members, m)
+	}
+	b.byID = byID
+	slices.SortStableFunc(b.members, func(x, y *member) int { return int(x.tier) - int(y.tier) })
+	b.setEnds()
+	b.boundEjections(now)
+}
+
+func (b *Balancer) update(now time.Time, m *member, u Upstream) {
+	if u.UpSince.After(m.up.UpSince) && m.up.ID != "" {
+		// Restarted: the load and the failures belong to the former process.
+		inFlight := m.inFlight
+		*m = member{inFlight: inFlight, since: now}
+	}
+	m.up = u
+	m.tier = b.tierOf(u)
+	m.draining = u.Draining
+}
+
+func (b *Balancer) setEnds() {
+	for t := range b.ends {
+		b.ends[t] = 0
+		for _, m := range b.members {
+			if int(m.tier) <= t {
+				b.ends[t]++
+			}
+		}
+	}
+}
+
+// boundEjections ends the ejections that are due first until the bound holds
+// for the current members.
+func (b *Balancer) boundEjections(now time.Time) {
+	for {
+		var earliest *member
+		ejected, usable := b.countEjected(now, &earliest)
+		if ejected == 0 || (ejected <= maxEjected(len(b.members)) && usable > 0) {
+			return
+		}
+		earliest.ejectedUntil = now
+	}
+}
+
+func (b *Balancer) countEjected(now time.Time, earliest **member) (ejected, usable int) {
+	for _, m := range b.members {
+		switch {
+		case m.ejected(now):
+			ejected++
+			if *earliest == nil || m.ejectedUntil.Before((*earliest).ejectedUntil) {
+				*earliest = m
+			}
+		case !m.draining:
+			usable++
+		}
+	}
+	return ejected, usable
+}
+
+// maxEjected is the bound on the ejected upstreams of a service: a third.
+func maxEjected(members int) int { return members / 3 }
--- a/core/chain/chain.go
+++ b/core/chain/chain.go
@@ -71,6 +71,9 @@
 // Class returns the class part of the priority.
 func (p Priority) Class() Class { return Class(p >> subPriorityBits) }
 
+// MinPriority returns the lowest priority of the class.
+func (c Class) MinPriority() Priority { return Priority(c) << subPriorityBits }
+
 // Context is the part of a request that every hop needs.
 type Context struct {
 	RequestID string
