core/admit: limit that probes for internal queueing, class floor, virtual-time tests

Cause: the declared slots may be wrong, a service may become five times slower at the same slots, and the first version of the level shed 5% of all arrivals, which under a surge is more than the upstream serves. Change: probeLimiter alternates between 0.90 and 1.15 of the limit while the gate is saturated and compares the own service times of both; the growth divided by (high - low) / throughput is 0 without and 1 with internal queueing. The level rises by a part of the admitted arrivals and falls by half of the idle capacity. A refusal for lack of room or time refuses the queued work of lower classes and keeps them out for two periods. Failed tries: pooling the samples of four rounds under noise converged later; waiting only two phases for the last probes left out slow requests and moved 35 to 28 under exponential service times. Conclusion: the probe is kept. Under exponential service times it needs more than ten seconds to find 12 slots.

--- a/core/admit/dispatch.go
+++ b/core/admit/dispatch.go
@@ -29,20 +29,16 @@
 // streamLimit is the number of streamed uploads that may run at once. It is at
 // least one, or a service with a limit of one would accept no upload.
 func (g *Gate) streamLimit() int {
-	return max(1, int(float64(g.limiter.limit)*g.cfg.StreamShare))
+	return max(1, int(float64(g.limiter.current())*g.cfg.StreamShare))
 }
 
 func (g *Gate) canRun(stream bool) bool {
-	if g.running >= g.limiter.limit {
+	if g.running >= g.limiter.current() {
 		return false
 	}
 	return !stream || g.uploads < g.streamLimit()
 }
 
-func (g *Gate) saturated() bool {
-	return g.running >= g.limiter.limit || g.plain.size > 0
-}
-
 // newEntry takes a recycled entry if there is one.
 func (g *Gate) newEntry(now time.Time, r Request, route *routeTime) *entry {
 	e := g.free
@@ -62,7 +58,18 @@
 	g.free = e
 }
 
+// recordUse adds the interval since the last change of the running requests.
+func (g *Gate) recordUse(now time.Time) {
+	if d := now.Sub(g.used); d > 0 {
+		if !g.used.IsZero() {
+			g.level.use(d, g.running, g.limiter.current())
+		}
+		g.used = now
+	}
+}
+
 func (g *Gate) run(now time.Time, e *entry) Action {
+	g.recordUse(now)
 	e.running = true
 	e.started = now
 	g.running++
@@ -71,10 +78,7 @@
 	} else {
 		g.level.wait(now.Sub(e.arrived)) // uploads wait for their share, which is no overload
 	}
-	if g.running >= g.limiter.limit {
-		g.level.wasFull = true
-	}
-	g.limiter.start(e, g.saturated())
+	g.limiter.begin(now, e, g.running >= g.limiter.current())
 	return Action{Kind: Run, ID: e.req.ID}
 }
 
@@ -153,39 +157,30 @@
 }
 
 // enqueue queues an entry, or refuses the lowest one if there is no room.
-func (g *Gate) enqueue(now time.Time, e *entry, actions []Action) []Action {
-	q := g.queueOf(e.req.Stream)
-	q.push(e)
-	for g.overfull(e.req.Stream) {
-		last := g.lowest(e.req.Stream)
+func (g *Gate) enqueue(e *entry, actions []Action) []Action {
+	g.queueOf(e.req.Stream).push(e)
+	f := chain.NewFailure(chain.NotRun, chain.ReasonOverload, "the queue is full")
+	if g.plain.size+g.streams.size > g.cfg.MaxQueue {
+		last := g.lowest()
 		class := last.req.Priority.Class()
 		g.level.noRoom++
-		f := chain.NewFailure(chain.NotRun, chain.ReasonOverload, "the queue is full")
-		upload := last.req.Stream
 		actions = append(actions, g.evict(last, f))
-		if !upload {
-			actions = g.raiseFloor(class, actions)
-		}
+		return g.raiseFloor(class, actions)
+	}
+	if g.streams.size > g.streamQueue() {
+		// The upload share is full, not the gate: neither level nor floor rise.
+		actions = append(actions, g.evict(g.streams.last(), f))
 	}
 	return actions
 }
 
-func (g *Gate) overfull(stream bool) bool {
-	if stream && g.streams.size > max(1, int(float64(g.cfg.MaxQueue)*g.cfg.StreamShare)) {
-		return true
-	}
-	return g.plain.size+g.streams.size > g.cfg.MaxQueue
-}
+// streamQueue is the number of streamed uploads that may wait.
+func (g *Gate) streamQueue() int { return max(1, int(float64(g.cfg.MaxQueue)*g.cfg.StreamShare)) }
 
-// lowest returns the entry to evict. An upload evicts uploads only while they
-// exceed their part of the queue; otherwise the lowest priority goes.
-func (g *Gate) lowest(stream bool) *entry {
-	s := g.streams.last()
-	e := g.plain.last()
-	if e == nil || (stream && g.plain.size+g.streams.size <= g.cfg.MaxQueue) {
-		return s
-	}
-	if s != nil && s.req.Priority < e.req.Priority {
+// lowest returns the entry of the lowest priority, an upload if both are equal.
+func (g *Gate) lowest() *entry {
+	e, s := g.plain.last(), g.streams.last()
+	if e == nil || (s != nil && s.req.Priority <= e.req.Priority) {
 		return s
 	}
 	return e
@@ -224,7 +219,7 @@
 func (g *Gate) endPeriod(now time.Time, actions []Action) []Action {
 	oldest := time.Duration(0)
 	g.plain.each(func(e *entry) { oldest = max(oldest, now.Sub(e.arrived)) })
-	g.level.adapt(g.cfg.QueueTarget, oldest, g.plain.size)
+	g.level.adapt(g.cfg.QueueTarget, oldest)
 	for _, r := range g.routes {
 		r.decay()
 	}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -21,6 +21,7 @@
 	limiter  limiter
 	routes   routeTable
 	period   time.Time // start of the current period
+	used     time.Time // up to when the use of the limit is recorded
 	floor    floor
 	draining bool
 }
@@ -28,10 +29,14 @@
 // New builds a gate.
 func New(cfg Config) *Gate {
 	cfg = cfg.withDefaults()
+	var l limiter = fixedLimiter(cfg.Slots)
+	if !cfg.Fixed {
+		l = newProbeLimiter(cfg)
+	}
 	return &Gate{
 		cfg:     cfg,
 		entries: make(map[uint64]*entry),
-		limiter: limiter{limit: cfg.Slots},
+		limiter: l,
 		routes:  make(routeTable),
 	}
 }
@@ -47,11 +52,12 @@
 	if f := g.refusal(now, r, route); f != nil {
 		return []Action{refuse(r, f)}
 	}
+	actions := g.dispatch(now, nil) // the limit may have grown since the last event
 	e := g.newEntry(now, r, route)
-	if g.canRun(r.Stream) && g.queueOf(r.Stream).size == 0 {
-		return []Action{g.run(now, e)}
+	if g.canRun(r.Stream) {
+		return append(actions, g.run(now, e))
 	}
-	return g.enqueue(now, e, nil)
+	return g.enqueue(e, actions)
 }
 
 // refusal returns the reason why a request may not even wait, or nil.
@@ -79,12 +85,13 @@
 	if e == nil || !e.running {
 		return nil
 	}
+	g.recordUse(now)
 	g.running--
 	if e.req.Stream {
 		g.uploads--
 	}
 	e.route.observe(now.Sub(e.started), r.OK)
-	g.limiter.finish(now, e, r, g.saturated())
+	g.limiter.end(now, e, r)
 	g.forget(e)
 	return g.dispatch(now, nil)
 }
@@ -108,6 +115,7 @@
 func (g *Gate) Tick(now time.Time) []Action {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordUse(now)
 	actions := g.expire(now, nil)
 	if g.period.IsZero() {
 		g.period = now
@@ -145,7 +153,7 @@
 	defer g.mu.Unlock()
 	return Report{
 		Level:    max(g.level.current, g.floor.level()),
-		Limit:    g.limiter.limit,
+		Limit:    g.limiter.current(),
 		InFlight: g.running,
 		Queued:   g.plain.size + g.streams.size,
 	}
--- /dev/null
+++ b/core/admit/gate_test.go
@@ -0,0 +1,248 @@
+package admit
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// The seed makes every run use the same schedules.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "1000")
+}
+
+// model follows a gate through a random schedule.
+type model struct {
+	t       *rapid.T
+	g       *Gate
+	now     time.Time
+	nextID  uint64
+	queued  map[uint64]Request
+	running map[uint64]Request
+}
+
+func newModel(t *rapid.T) *model {
+	cfg := Config{Slots: rapid.IntRange(1, 8).Draw(t, "slots"), MaxQueue: rapid.IntRange(1, 20).Draw(t, "queue")}
+	return &model{t: t, g: New(cfg), now: simEpoch, queued: map[uint64]Request{}, running: map[uint64]Request{}}
+}
+
+func (m *model) arrive() {
+	m.nextID++
+	r := Request{
+		ID:       m.nextID,
+		Priority: chain.Priority(rapid.IntRange(0, int(chain.MaxPriority)-1).Draw(m.t, "priority")),
+		Stream:   rapid.IntRange(0, 3).Draw(m.t, "stream") == 0,
+		Route:    rapid.SampledFrom([]string{"a", "b"}).Draw(m.t, "route"),
+	}
+	if left := rapid.IntRange(0, 300).Draw(m.t, "left"); left > 0 {
+		r.Deadline = m.now.Add(time.Duration(left) * time.Millisecond)
+	}
+	level := m.g.Report(m.now).Level
+	m.queued[r.ID] = r
+	limit := m.limit()
+	actions := m.g.Arrive(m.now, r)
+	m.check(actions, limit)
+	if _, queued := m.queued[r.ID]; queued || m.running[r.ID].ID != 0 {
+		require.GreaterOrEqual(m.t, r.Priority, level, "admitted below the level")
+	}
+}
+
+func (m *model) limit() int { return m.g.Report(m.now).Limit }
+
+func (m *model) finish() {
+	if len(m.running) == 0 {
+		return
+	}
+	id := m.pick(m.running)
+	delete(m.running, id)
+	limit := m.limit()
+	m.check(m.g.Finish(m.now, id, Result{OK: rapid.Bool().Draw(m.t, "ok")}), limit)
+}
+
+func (m *model) cancel() {
+	if len(m.queued) == 0 {
+		return
+	}
+	id := m.pick(m.queued)
+	delete(m.queued, id)
+	limit := m.limit()
+	m.check(m.g.Cancel(m.now, id), limit)
+}
+
+func (m *model) tick() {
+	limit := m.limit()
+	for range rapid.IntRange(1, 12).Draw(m.t, "ticks") {
+		m.now = m.now.Add(10 * time.Millisecond)
+		m.check(m.g.Tick(m.now), max(limit, m.limit()))
+	}
+}
+
+// pick draws one id in an order that does not depend on the map.
+func (m *model) pick(from map[uint64]Request) uint64 {
+	var ids []uint64
+	for id := uint64(1); id <= m.nextID; id++ {
+		if _, ok := from[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	return rapid.SampledFrom(ids).Draw(m.t, "id")
+}
+
+// check applies actions to the model. limitBefore is the limit before the call.
+func (m *model) check(actions []Action, limitBefore int) {
+	refused, wasLoad := chain.Sheddable, false
+	started := false
+	for _, a := range actions {
+		r, ok := m.queued[a.ID]
+		require.True(m.t, ok, "action on request %d, which was not waiting", a.ID)
+		delete(m.queued, a.ID)
+		if a.Kind == Run {
+			m.running[a.ID] = r
+			started = true
+			continue
+		}
+		require.Equal(m.t, chain.NotRun, a.Failure.Outcome)
+		if a.Failure.Reason == chain.ReasonOverload && !r.Stream {
+			refused, wasLoad = max(refused, r.Priority.Class()), true
+		}
+	}
+	require.Equal(m.t, len(m.running), m.g.InFlight())
+	require.Equal(m.t, len(m.queued), m.g.Report(m.now).Queued)
+	if started {
+		require.LessOrEqual(m.t, len(m.running), max(limitBefore, m.limit()))
+		m.checkUploads(max(limitBefore, m.limit()))
+	}
+	if wasLoad {
+		m.checkClassOrder(refused)
+	}
+}
+
+func (m *model) checkUploads(limit int) {
+	uploads := 0
+	for _, r := range m.running {
+		if r.Stream {
+			uploads++
+		}
+	}
+	require.LessOrEqual(m.t, uploads, max(1, limit/2))
+}
+
+// checkClassOrder checks the state after a refusal of a class under load: no
+// lower class waits, and the next arrival of one would be refused.
+func (m *model) checkClassOrder(refused chain.Class) {
+	for _, r := range m.queued {
+		require.GreaterOrEqual(m.t, r.Priority.Class(), refused, "a lower class is queued")
+	}
+	require.GreaterOrEqual(m.t, m.g.Report(m.now).Level, refused.MinPriority(), "a lower class would be admitted")
+}
+
+// TestGateProperties guards against a request that is started twice, lost or
+// both started and refused, against a gate above its limit, against uploads
+// above their share, and against refusing a class before the classes below it.
+func TestGateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(*rapid.T) { m.arrive() },
+			"surge": func(*rapid.T) {
+				for range 10 {
+					m.arrive()
+				}
+			},
+			"finish": func(*rapid.T) { m.finish() },
+			"cancel": func(*rapid.T) { m.cancel() },
+			"tick":   func(*rapid.T) { m.tick() },
+		})
+		m.check(m.g.Drain(), m.limit())
+		require.Empty(t, m.queued, "a request got no decision")
+		for len(m.running) > 0 {
+			m.finish()
+		}
+		require.Zero(t, m.g.InFlight())
+		require.Empty(t, m.g.entries)
+	})
+}
+
+// fill occupies all slots of a gate and returns the next free id.
+func fill(g *Gate, slots int, p chain.Priority) uint64 {
+	for i := range slots {
+		g.Arrive(simEpoch, Request{ID: uint64(i) + 1, Priority: p})
+	}
+	return uint64(slots) + 1
+}
+
+// TestExpiryKeepsClassOrder guards against serving a lower class right after a
+// higher one lost its time in the queue.
+func TestExpiryKeepsClassOrder(t *testing.T) {
+	g := New(Config{Slots: 2, Fixed: true})
+	id := fill(g, 2, chain.Critical.MinPriority())
+	g.Arrive(simEpoch, Request{ID: id, Priority: chain.Sheddable.MinPriority()})
+	g.Arrive(simEpoch, Request{ID: id + 1, Priority: chain.Critical.MinPriority(), Deadline: simEpoch.Add(15 * time.Millisecond)})
+	actions := g.Tick(simEpoch.Add(20 * time.Millisecond))
+	require.Len(t, actions, 2)
+	require.Equal(t, chain.ReasonDeadline, actions[0].Failure.Reason)
+	require.Equal(t, chain.ReasonOverload, actions[1].Failure.Reason)
+	late := g.Arrive(simEpoch.Add(21*time.Millisecond), Request{ID: id + 2, Priority: chain.Default.MinPriority()})
+	require.Equal(t, Refuse, late[0].Kind)
+}
+
+// TestUploadShareIsNoOverload guards against uploads that overflow their own
+// share and thereby raise the level for lookups.
+func TestUploadShareIsNoOverload(t *testing.T) {
+	g := New(Config{Slots: 4, Fixed: true})
+	for i := range 50 {
+		g.Arrive(simEpoch, Request{ID: uint64(i), Priority: chain.Critical.MinPriority(), Stream: true})
+	}
+	g.Tick(simEpoch)
+	g.Tick(simEpoch.Add(100 * time.Millisecond))
+	require.Zero(t, g.Report(simEpoch).Level)
+	actions := g.Arrive(simEpoch, Request{ID: 100, Priority: chain.Default.MinPriority()})
+	require.Equal(t, Run, actions[0].Kind)
+}
+
+// TestRouteEstimateIsCorrected guards against an estimate above all deadlines
+// that refuses every request and is therefore never measured again.
+func TestRouteEstimateIsCorrected(t *testing.T) {
+	g := New(Config{Slots: 1})
+	now := simEpoch
+	g.Arrive(now, Request{ID: 1})
+	now = now.Add(time.Second)
+	g.Finish(now, 1, Result{OK: true})
+	kind := Refuse
+	for id := uint64(2); kind == Refuse && id < 5000; id++ {
+		now = now.Add(10 * time.Millisecond)
+		g.Tick(now)
+		kind = g.Arrive(now, Request{ID: id, Deadline: now.Add(300 * time.Millisecond)})[0].Kind
+	}
+	require.Equal(t, Run, kind)
+}
+
+// TestLevels guards against an entrance that refuses because of one upstream,
+// or because of a report that has become old.
+func TestLevels(t *testing.T) {
+	var l Levels
+	now := simEpoch
+	high := chain.Critical.MinPriority()
+	require.True(t, l.Admits(now, "r", 0))
+	l.Report(now, "r", "a", Report{Level: high})
+	require.False(t, l.Admits(now, "r", high-1))
+	require.True(t, l.Admits(now, "r", high))
+	l.Report(now, "r", "b", Report{})
+	require.True(t, l.Admits(now, "r", 0), "another upstream admits")
+	l.Report(now, "r", "b", Report{Below: high})
+	require.False(t, l.Admits(now, "r", high-1), "refused further down")
+	require.True(t, l.Admits(now.Add(LevelExpiry), "r", 0), "old reports have no weight")
+	rapid.Check(t, func(t *rapid.T) {
+		level := chain.Priority(rapid.IntRange(0, int(chain.MaxPriority)).Draw(t, "level"))
+		a := time.Duration(rapid.Int64Range(0, int64(2*LevelExpiry)).Draw(t, "age"))
+		b := time.Duration(rapid.Int64Range(0, int64(2*LevelExpiry)).Draw(t, "older")) + a
+		require.LessOrEqual(t, AgedLevel(level, b), AgedLevel(level, a), "age never raises a level")
+	})
+}
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -7,13 +7,16 @@
 )
 
 const (
-	// riseStep is the part of the observed arrivals that one rise sheds in
-	// addition; larger steps oscillate, smaller ones need seconds for a surge.
+	// riseStep is the part of the admitted arrivals that one rise sheds in
+	// addition. Under a surge it is the part of the admitted arrivals and not of
+	// all: 5% of all can be more than the upstream serves, and the level would
+	// swing between too much and nothing.
 	riseStep = 0.05
-	// fallStep is the part of the observed arrivals that one fall admits again.
+	// fallStep is the part of the admitted arrivals that one fall adds.
 	fallStep = 0.01
-	// maxFallStep bounds the doubling of fallStep while capacity is spare.
-	maxFallStep = 0.25
+	// maxFallStep bounds a fall while capacity is idle: the admitted work at
+	// most doubles in a period, so a fifteenfold overload is undone in five.
+	maxFallStep = 1.0
 	// histogramKeep is the weight of earlier periods in the histogram.
 	histogramKeep = 0.7
 	// maxLevel always admits the highest priority, so that load keeps being
@@ -25,20 +28,21 @@
 type level struct {
 	current   chain.Priority
 	histogram [chain.MaxPriority]float32 // arrivals by priority, decayed by period
-	total     float32
-	step      float32 // next fall
 
+	// Of the current period:
 	waits    int
 	waitSum  time.Duration
-	arrivals int
-	noRoom   int  // refusals of this period for lack of room or time in the queue
-	wasFull  bool // the limit was reached in this period
+	admitted int           // arrivals at or above the level
+	noRoom   int           // refusals for lack of room, or of time in the queue
+	busy     time.Duration // integral of the running requests
+	capacity time.Duration // integral of the limit
 }
 
 func (l *level) arrive(p chain.Priority) {
 	l.histogram[p]++
-	l.total++
-	l.arrivals++
+	if p >= l.current {
+		l.admitted++
+	}
 }
 
 func (l *level) wait(d time.Duration) {
@@ -46,44 +50,57 @@
 	l.waitSum += d
 }
 
+// use adds an interval with a constant number of running requests.
+func (l *level) use(d time.Duration, running, limit int) {
+	l.busy += d * time.Duration(running)
+	l.capacity += d * time.Duration(limit)
+}
+
 // adapt ends a period. oldest is the wait of the oldest queued entry.
-func (l *level) adapt(target, oldest time.Duration, queued int) {
-	mean := time.Duration(0)
+func (l *level) adapt(target, oldest time.Duration) {
+	mean := oldest // if nothing was started in the whole period
 	if l.waits > 0 {
 		mean = l.waitSum / time.Duration(l.waits)
-	} else if queued > 0 {
-		mean = oldest // nothing was started in the whole period
 	}
-	switch {
-	case mean > target || l.noRoom > 0:
+	if mean > target || l.noRoom > 0 {
 		l.rise()
-	case l.wasFull || queued > 0:
-		l.step = fallStep
-		l.fall()
-	default:
+	} else {
 		l.fall()
-		l.step = min(2*l.step, maxFallStep)
 	}
 	l.reset()
 }
 
-// rise sheds riseStep more of the arrivals, or the part that found no room if
-// that is larger: 5% a period would need two seconds for a fifteenfold surge.
+// aboveLevel is the number of arrivals that the level admits, by the histogram.
+func (l *level) aboveLevel() float32 {
+	sum := float32(0)
+	for _, n := range l.histogram[l.current:] {
+		sum += n
+	}
+	return sum
+}
+
+// rise sheds riseStep of the admitted arrivals, or the part that found no room
+// if that is larger: 5% a period would need seconds for a fifteenfold surge.
 func (l *level) rise() {
-	l.step = fallStep
 	part := float32(riseStep)
-	if l.arrivals > 0 {
-		part = max(part, float32(l.noRoom)/float32(l.arrivals))
+	if l.admitted > 0 {
+		part = max(part, min(1, float32(l.noRoom)/float32(l.admitted)))
 	}
-	want := part * l.total
+	want := part * l.aboveLevel()
 	for l.current < maxLevel && want > 0 {
 		want -= l.histogram[l.current]
 		l.current++
 	}
 }
 
+// fall admits fallStep more, or what half of the idle capacity can serve.
 func (l *level) fall() {
-	want := max(l.step, fallStep) * l.total
+	part := float32(fallStep)
+	if l.capacity > 0 {
+		used := max(float32(l.busy)/float32(l.capacity), 0.01)
+		part = max(part, min((1/used-1)/2, maxFallStep))
+	}
+	want := part * l.aboveLevel()
 	for l.current > 0 {
 		l.current--
 		want -= l.histogram[l.current]
@@ -94,13 +111,11 @@
 }
 
 func (l *level) reset() {
-	l.total = 0
 	for i := range l.histogram {
 		l.histogram[i] *= histogramKeep
 		if l.histogram[i] < 0.01 {
 			l.histogram[i] = 0
 		}
-		l.total += l.histogram[i]
 	}
-	l.waits, l.waitSum, l.arrivals, l.noRoom, l.wasFull = 0, 0, 0, 0, false
+	l.waits, l.waitSum, l.admitted, l.noRoom, l.busy, l.capacity = 0, 0, 0, 0, 0, 0
 }
--- /dev/null
+++ b/core/admit/limit_test.go
@@ -0,0 +1,197 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// gradientLimiter is a rejected alternative: the limit follows the ratio of
+// the long-term latency to the present one, plus room for a queue.
+type gradientLimiter struct{ limit, long, short, max float64 }
+
+func (g *gradientLimiter) current() int                { return int(g.limit) }
+func (*gradientLimiter) begin(time.Time, *entry, bool) {}
+func (g *gradientLimiter) end(_ time.Time, _ *entry, r Result) {
+	v := r.Own.Seconds()
+	if g.long == 0 {
+		g.long, g.short = v, v
+	}
+	g.long += (v - g.long) / 600
+	g.short += (v - g.short) / 20
+	gradient := min(1, max(0.5, 1.5*g.long/g.short))
+	g.limit += (g.limit*gradient + 4 - g.limit) * 0.05
+	g.limit = min(max(g.limit, 1), g.max)
+}
+
+// climbLimiter is a rejected alternative: it moves the limit by a tenth per
+// window and turns round when the throughput of the window did not follow.
+type climbLimiter struct {
+	limit, direction, former, max float64
+	from                          time.Time
+	done                          int
+}
+
+func (c *climbLimiter) current() int                { return int(c.limit) }
+func (*climbLimiter) begin(time.Time, *entry, bool) {}
+func (c *climbLimiter) end(now time.Time, _ *entry, _ Result) {
+	if c.done++; c.done < 4*int(c.limit) {
+		return
+	}
+	throughput := float64(c.done) / now.Sub(c.from).Seconds()
+	grew := throughput > c.former*1.05
+	shrank := throughput < c.former*0.95
+	if (c.direction > 0 && !grew) || (c.direction < 0 && shrank) {
+		c.direction = -c.direction
+	}
+	c.former, c.done, c.from = throughput, 0, now
+	c.limit = min(max(c.limit*(1+0.1*c.direction), 1), c.max)
+}
+
+var limiters = map[string]func(Config) limiter{
+	"fixed":    func(c Config) limiter { return fixedLimiter(c.Slots) },
+	"gradient": func(c Config) limiter { return &gradientLimiter{limit: float64(c.Slots), max: 4 * float64(c.Slots)} },
+	"climb": func(c Config) limiter {
+		return &climbLimiter{limit: float64(c.Slots), direction: 1, max: 4 * float64(c.Slots)}
+	},
+	"probe": func(c Config) limiter { return newProbeLimiter(c.withDefaults()) },
+}
+
+func gateWith(name string) *Gate {
+	cfg := Config{Slots: 35}
+	g := New(cfg)
+	g.limiter = limiters[name](cfg)
+	return g
+}
+
+// during returns high within the seconds [from, to) and low otherwise.
+func during[T any](from, to time.Duration, high, low T) func(time.Duration) T {
+	return func(at time.Duration) T {
+		if at >= from && at < to {
+			return high
+		}
+		return low
+	}
+}
+
+func always[T any](v T) func(time.Duration) T { return func(time.Duration) T { return v } }
+
+const sec = time.Second
+
+// trigger is failure F1: a fivefold service time and three times the demand
+// for ten seconds, with callers that retry three times at once. The upstream
+// has 35 slots and can serve 1750 requests/s, and 350 during the trigger.
+func trigger(g *Gate, noise float64) *scenario {
+	return &scenario{gate: g, noise: noise, retries: 3, deadline: 500 * time.Millisecond, length: 20 * sec,
+		slots:   always(35),
+		service: during(5*sec, 15*sec, 100*time.Millisecond, 20*time.Millisecond),
+		rate:    during(5*sec, 15*sec, 3000.0, 1000.0)}
+}
+
+// mismatch is an upstream whose real concurrency differs from the declared 35.
+func mismatch(g *Gate, real int, noise, rate float64) *scenario {
+	return &scenario{gate: g, noise: noise, deadline: 500 * time.Millisecond, length: 20 * sec,
+		slots: always(real), service: always(20 * time.Millisecond), rate: always(rate)}
+}
+
+// TestTrigger guards against an overload that wastes the bottleneck or outlasts
+// its trigger, and against serving a lower class while a higher one is refused.
+func TestTrigger(t *testing.T) {
+	for _, noise := range []float64{0, 0.3} {
+		s := trigger(gateWith("probe"), noise).run()
+		served := sum(s.good, chain.Sheddable, 6, 15)
+		require.GreaterOrEqual(t, served, 9*350*9/10, "goodput in the trigger, noise %v", noise)
+		require.Zero(t, served-sum(s.good, chain.Critical, 6, 15), "critical demand alone exceeds the capacity")
+		require.Zero(t, s.refused[17]+s.refused[18], "refusals from two seconds after the trigger")
+		require.GreaterOrEqual(t, sum(s.good, 0, 17, 19), sum(s.offered, 0, 17, 19)*95/100)
+		require.Zero(t, s.gate.Report(s.now).Level)
+	}
+}
+
+// TestLimitFindsRealSlots guards against a limit that stays at a wrong
+// declaration: too high lets the upstream queue internally, too low idles it.
+func TestLimitFindsRealSlots(t *testing.T) {
+	for _, noise := range []float64{0, 0.3} {
+		low := mismatch(gateWith("probe"), 12, noise, 1500).run()
+		require.InDelta(t, 12, mean(low.limits[8:]), 3, "%v", low.limits)
+		high := mismatch(gateWith("probe"), 70, noise, 4500).run()
+		require.InDelta(t, 70, mean(high.limits[8:]), 14, "%v", high.limits)
+	}
+}
+
+// TestLimitSurvivesSlowdown guards against a limit that takes a slower service
+// for internal queueing and sheds throughput for nothing.
+func TestLimitSurvivesSlowdown(t *testing.T) {
+	for _, noise := range []float64{0, 0.3, 1} {
+		s := trigger(gateWith("probe"), noise).run()
+		require.GreaterOrEqual(t, mean(s.limits[6:15]), 0.9*35, "%v", s.limits)
+	}
+}
+
+// TestLimitGrowsAgain guards against a limit that stays low after the upstream
+// has got its slots back.
+func TestLimitGrowsAgain(t *testing.T) {
+	s := mismatch(gateWith("probe"), 0, 0.3, 2500)
+	s.slots = during(4*sec, 10*sec, 12, 35)
+	s.run()
+	require.Less(t, mean(s.limits[8:10]), 18.0, "%v", s.limits)
+	require.Greater(t, mean(s.limits[15:]), 30.0, "%v", s.limits)
+}
+
+// TestLimitOfFailingUpstream guards against a limit that never returns after
+// the requests of an upstream have failed.
+func TestLimitOfFailingUpstream(t *testing.T) {
+	p := newProbeLimiter(Config{Slots: 20}.withDefaults())
+	start := p.current()
+	for range 200 {
+		p.end(simEpoch, &entry{}, Result{})
+	}
+	require.Less(t, p.current(), start)
+	for range 200 {
+		p.end(simEpoch, &entry{}, Result{OK: true})
+	}
+	require.Equal(t, start, p.current())
+}
+
+// BenchmarkLimiters reports the figures of docs/design.md, in virtual time:
+//
+//	go test -run - -bench Limiters -benchtime 1x ./core/admit
+func BenchmarkLimiters(b *testing.B) {
+	for _, name := range []string{"fixed", "gradient", "climb", "probe"} {
+		for _, noise := range []float64{0, 0.3, 1} {
+			b.Run(fmt.Sprintf("%s/noise=%v", name, noise), func(b *testing.B) {
+				for range b.N {
+					reportLimiter(b, name, noise)
+				}
+			})
+		}
+	}
+}
+
+func reportLimiter(b *testing.B, name string, noise float64) {
+	f1 := trigger(gateWith(name), noise).run()
+	low := mismatch(gateWith(name), 12, noise, 1500).run()
+	high := mismatch(gateWith(name), 70, noise, 4500).run()
+	share := func(s *scenario, from, to, capacity int) float64 {
+		return 100 * float64(sum(s.good, 0, from, to)) / float64((to-from)*capacity)
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(share(f1, 6, 15, 350), "F1-goodput%")
+	b.ReportMetric(float64(f1.slowest[17].Milliseconds()), "F1-slowest-ms-after-2s")
+	b.ReportMetric(mean(low.limits[10:]), "limit-of-12")
+	b.ReportMetric(share(low, 10, 20, 600), "goodput%-of-12")
+	b.ReportMetric(mean(high.limits[10:]), "limit-of-70")
+	b.ReportMetric(share(high, 10, 20, 3500), "goodput%-of-70")
+}
+
+func mean(values []int) float64 {
+	total := 0
+	for _, v := range values {
+		total += v
+	}
+	return float64(total) / float64(len(values))
+}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -13,6 +13,8 @@
 	arrived time.Time
 	started time.Time
 	route   *routeTime
+	round   int32 // round of the limiter in which it is a sample, 0 for none
+	high    bool  // a sample of the higher probe
 	running bool
 	next    *entry
 	prev    *entry
