core/admit: level steps follow the excess wait and the whole idle capacity

Cause: the level rose by 5% even for a wait just above the target and fell by half of the idle capacity, so slots idled between the two. Change: the rise is scaled by the excess of the wait, 1% to 5%; the fall admits what the idle capacity can serve.

--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -63,7 +63,7 @@
 		mean = l.waitSum / time.Duration(l.waits)
 	}
 	if mean > target || l.noRoom > 0 {
-		l.rise()
+		l.rise(min(max(float32(mean-target)/float32(target), 0.2), 1))
 	} else {
 		l.fall()
 	}
@@ -79,10 +79,11 @@
 	return sum
 }
 
-// rise sheds riseStep of the admitted arrivals, or the part that found no room
+// rise sheds riseStep of the admitted arrivals, scaled by how far the wait
+// exceeds the target (excess, 0.2 to 1), or the part that found no room
 // if that is larger: 5% a period would need seconds for a fifteenfold surge.
-func (l *level) rise() {
-	part := float32(riseStep)
+func (l *level) rise(excess float32) {
+	part := riseStep * excess
 	if l.admitted > 0 {
 		part = max(part, min(1, float32(l.noRoom)/float32(l.admitted)))
 	}
@@ -93,12 +94,12 @@
 	}
 }
 
-// fall admits fallStep more, or what half of the idle capacity can serve.
+// fall admits fallStep more, or what the idle capacity can serve.
 func (l *level) fall() {
 	part := float32(fallStep)
 	if l.capacity > 0 {
 		used := max(float32(l.busy)/float32(l.capacity), 0.01)
-		part = max(part, min((1/used-1)/2, maxFallStep))
+		part = max(part, min(1/used-1, maxFallStep))
 	}
 	want := part * l.aboveLevel()
 	for l.current > 0 {
