core/balance: tests, trust, link reserves

Cause: tests showed four faults in the first version. The first failure of an upstream set its latency average, so a fast failure looked like a fast upstream. An average that was once high was never measured again at low load. A cold or failing upstream got all calls for which the others had no room. Background work and first attempts had the same right to the link budget. Change: only complete answers lower a latency; high latencies and failures are forgotten with a time constant of 5 s; slots are scaled by trust (slow start, consecutive failures) unless the call would otherwise leave the region; sheddable work and retries leave half of a link budget, default work a quarter. Property tests for the ejection bound, the link bytes and reports that must grant nothing.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -80,7 +80,7 @@
 	Priority chain.Priority
 	Exclude  []string // upstreams tried before
 	Bytes    int64    // expected size of both bodies; 0 takes the average of the service
-	Retry    bool     // a retry or a hedge, which may use only the upper half of a link budget
+	Retry    bool     // a retry or a hedge, which must leave half of a link budget
 }
 
 // Choice is an upstream picked for one attempt. It is passed to Done.
@@ -111,7 +111,8 @@
 	ends     [numTiers]int
 	byID     map[string]*member
 	scratch  []*member
-	avgBytes float64
+	avgBytes float64 // per call
+	usual    float64 // average latency of complete answers in seconds, 0 before the first
 }
 
 // New builds a Balancer without upstreams.
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,281 @@
+package balance
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// The seed makes every run use the same schedules.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var (
+	epoch    = time.Unix(1_000_000, 0)
+	critical = Request{Priority: chain.Critical.MinPriority(), Bytes: 1000}
+	full     = &admit.Report{Level: chain.MaxPriority - 1, Limit: 4, InFlight: 4, Queued: 8}
+	ok       = Result{Latency: 10 * time.Millisecond}
+	broken   = Result{Latency: time.Millisecond, Outcome: chain.Unknown, Reason: chain.ReasonUpstreamError}
+)
+
+// service has n upstreams in each tier as seen from zone s1 of region south.
+func service(n int) []Upstream {
+	var ups []Upstream
+	for i := range n {
+		ups = append(ups,
+			Upstream{ID: fmt.Sprintf("near%d", i), Region: "south", AvailabilityZone: "s1", Slots: 4},
+			Upstream{ID: fmt.Sprintf("next%d", i), Region: "south", AvailabilityZone: "s2", Slots: 4},
+			Upstream{ID: fmt.Sprintf("far%d", i), Region: "north", AvailabilityZone: "n1", Slots: 4})
+	}
+	return ups
+}
+
+func balancer(links *Links, ups []Upstream) *Balancer {
+	b := New(Config{Region: "south", AvailabilityZone: "s1", Links: links, Seed: 1})
+	b.SetUpstreams(epoch, ups)
+	return b
+}
+
+// report lets every upstream of the ids report the same.
+func report(b *Balancer, now time.Time, r *admit.Report, prefix string) {
+	for _, m := range b.members {
+		if len(m.up.ID) > len(prefix) && m.up.ID[:len(prefix)] == prefix {
+			m.inFlight++
+			b.Done(now, Choice{Upstream: m.up, member: m}, Result{Outcome: chain.NotRun, Reason: chain.ReasonOverload, Report: r})
+		}
+	}
+}
+
+// TestTiers guards against leaving the availability zone while it has room,
+// against staying when it is saturated, and against links without budget.
+func TestTiers(t *testing.T) {
+	links := NewLinks(LinksConfig{BytesPerSecond: 10_000})
+	b := balancer(links, service(2))
+	next := func(r Request) (Tier, *chain.Failure) {
+		c, f := b.Pick(epoch, r)
+		if f == nil {
+			b.Done(epoch, c, Result{Outcome: chain.NotRun, Reason: chain.ReasonCancelled, Bytes: r.Bytes})
+		}
+		return c.Tier, f
+	}
+	tier, _ := next(critical)
+	require.Equal(t, SameAvailabilityZone, tier)
+	report(b, epoch, full, "near")
+	tier, _ = next(critical)
+	require.Equal(t, SameRegion, tier)
+	report(b, epoch, full, "next")
+	for range 10 {
+		tier, _ = next(critical)
+		require.Equal(t, OtherRegion, tier)
+	}
+	tier, _ = next(critical)
+	require.Equal(t, SameAvailabilityZone, tier, "no byte budget: the gate nearby decides")
+	late := epoch.Add(admit.LevelExpiry)
+	c, f := b.Pick(late, critical)
+	require.Nil(t, f)
+	require.Equal(t, SameAvailabilityZone, c.Tier, "reports age")
+}
+
+// TestColdBeforeFar guards against calls to other regions while upstreams of
+// this region have room but have just started.
+func TestColdBeforeFar(t *testing.T) {
+	ups := service(1)
+	for i := range ups {
+		ups[i].UpSince = epoch
+	}
+	b := balancer(NewLinks(LinksConfig{BytesPerSecond: 10_000}), ups)
+	tiers := map[Tier]int{}
+	for range 9 {
+		c, _ := b.Pick(epoch, critical)
+		tiers[c.Tier]++
+	}
+	require.Equal(t, map[Tier]int{SameAvailabilityZone: 4, SameRegion: 4, OtherRegion: 1}, tiers)
+}
+
+// TestRetriesLeaveLinkBudget guards against retries and background work that
+// spend the link budget of first attempts of critical requests.
+func TestRetriesLeaveLinkBudget(t *testing.T) {
+	links := NewLinks(LinksConfig{BytesPerSecond: 10_000})
+	b := balancer(links, service(1)[2:])
+	retry := critical
+	retry.Retry = true
+	count := func(r Request) int {
+		n := 0
+		for f := (*chain.Failure)(nil); f == nil; n++ {
+			_, f = b.Pick(epoch, r)
+			require.True(t, f == nil || f.Reason == chain.ReasonLinkBudget && f.Outcome == chain.NotRun)
+		}
+		return n - 1
+	}
+	require.Equal(t, 5, count(retry))
+	require.Equal(t, 0, count(Request{Priority: chain.Sheddable.MinPriority(), Bytes: 1000}))
+	require.Equal(t, 5, count(critical))
+	require.EqualValues(t, 0, links.Left(epoch, "north"))
+	closed := balancer(nil, service(1)[2:])
+	_, f := closed.Pick(epoch, critical)
+	require.Equal(t, chain.ReasonLinkBudget, f.Reason)
+}
+
+// TestLinkBytesBounded guards against more bytes on a link than the budget,
+// beyond one underestimate.
+func TestLinkBytesBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		links := NewLinks(LinksConfig{BytesPerSecond: 1000, Burst: 5000})
+		b := balancer(links, service(2)[2:3])
+		now, used, largest := epoch, int64(0), int64(0)
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			c, f := b.Pick(now, Request{Priority: critical.Priority, Bytes: rapid.Int64Range(0, 2000).Draw(t, "expected")})
+			if f != nil {
+				continue
+			}
+			bytes := rapid.Int64Range(0, 4000).Draw(t, "real")
+			b.Done(now, c, Result{Bytes: bytes})
+			used, largest = used+bytes, max(largest, bytes)
+		}
+		require.LessOrEqual(t, used, int64(5000+now.Sub(epoch).Seconds()*1000)+largest)
+	})
+}
+
+// TestEjectionBounded guards against ejecting more than a third of a service or
+// its last usable upstream, and against calls to draining or excluded ones.
+func TestEjectionBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ups := service(rapid.IntRange(1, 4).Draw(t, "n"))
+		b := balancer(nil, ups)
+		now := epoch
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 30).Draw(t, "change") == 0 {
+				ups = service(rapid.IntRange(1, 4).Draw(t, "n"))
+				for i := range ups {
+					ups[i].Draining = rapid.Bool().Draw(t, "draining")
+				}
+				b.SetUpstreams(now, ups)
+			}
+			exclude := []string{ups[rapid.IntRange(0, len(ups)-1).Draw(t, "exclude")].ID}
+			if c, f := b.Pick(now, Request{Exclude: exclude}); f == nil {
+				require.False(t, c.Upstream.Draining)
+				require.NotContains(t, exclude, c.Upstream.ID)
+				b.Done(now, c, rapid.SampledFrom([]Result{ok, broken, broken, broken}).Draw(t, "result"))
+			}
+			var earliest *member
+			ejected, usable := b.countEjected(now, &earliest)
+			require.LessOrEqual(t, ejected, len(ups)/3)
+			require.True(t, usable > 0 || ejected == 0)
+		}
+	})
+}
+
+// share returns the part of the calls that each upstream gets in a second with
+// one call per millisecond, of which four are in flight at a time.
+func share(b *Balancer, from time.Time, answer func(id string) Result) map[string]float64 {
+	got := map[string]float64{}
+	var pending []Choice
+	for i := range 1000 {
+		now := from.Add(time.Duration(i) * time.Millisecond)
+		c, _ := b.Pick(now, critical)
+		got[c.Upstream.ID] += 0.001
+		if pending = append(pending, c); len(pending) > 3 {
+			b.Done(now, pending[0], answer(pending[0].Upstream.ID))
+			pending = pending[1:]
+		}
+	}
+	for _, c := range pending {
+		b.Done(from.Add(time.Second), c, answer(c.Upstream.ID))
+	}
+	return got
+}
+
+// TestSuspectsGetLessAndReturn guards against fast failures that attract calls,
+// and against an upstream that is avoided for ever after its recovery.
+func TestSuspectsGetLessAndReturn(t *testing.T) {
+	ups := service(2)
+	b := balancer(nil, []Upstream{ups[0], ups[3]}) // two: none may be ejected
+	got := share(b, epoch, func(id string) Result {
+		if id == "near0" {
+			return broken
+		}
+		return ok
+	})
+	require.Less(t, got["near0"], 0.1)
+	require.Zero(t, b.byID["near0"].latency, "a failure is no sample of a fast answer")
+	got = share(b, epoch.Add(time.Minute), func(string) Result { return ok })
+	require.Greater(t, got["near0"], 0.3)
+}
+
+// TestEjectedReturnSlowly guards against an ejection without end and against
+// full load right after it.
+func TestEjectedReturnSlowly(t *testing.T) {
+	ups := service(3)
+	b := balancer(nil, []Upstream{ups[0], ups[3], ups[6]})
+	for range 5 {
+		b.byID["near0"].inFlight++
+		b.Done(epoch, Choice{member: b.byID["near0"]}, broken)
+	}
+	answer := func(string) Result { return ok }
+	require.Zero(t, share(b, epoch, answer)["near0"])
+	require.Less(t, share(b, epoch.Add(3*time.Second), answer)["near0"], 0.2)
+	require.Greater(t, share(b, epoch.Add(30*time.Second), answer)["near0"], 0.2)
+}
+
+// TestSlowStart guards against full load on an upstream that has just started.
+func TestSlowStart(t *testing.T) {
+	b := balancer(nil, service(2))
+	now := epoch.Add(time.Minute)
+	fresh := Upstream{ID: "new", Region: "south", AvailabilityZone: "s1", Slots: 4, UpSince: epoch}
+	b.SetUpstreams(now, append(service(2), fresh)) // an old start time grants nothing
+	answer := func(string) Result { return ok }
+	require.Less(t, share(b, now, answer)["new"], 0.1)
+	require.Greater(t, share(b, now.Add(time.Minute), answer)["new"], 0.2)
+}
+
+// TestReportsGrantNothing guards against load reports that attract calls: any
+// report leaves the cost of an upstream the same or raises it.
+func TestReportsGrantNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := member{up: Upstream{Slots: 4}, inFlight: rapid.IntRange(0, 6).Draw(t, "in flight"), latency: 0.01}
+		priority := chain.Priority(rapid.IntRange(0, int(chain.MaxPriority)-1).Draw(t, "priority"))
+		cfg := Config{}.withDefaults()
+		cost, saturated := m.cost(epoch, &cfg, 0.01), m.saturated(epoch, priority, 4)
+		m.report = admit.Report{
+			Level:    chain.Priority(rapid.IntRange(0, int(chain.MaxPriority)).Draw(t, "level")),
+			Limit:    rapid.IntRange(0, 1000).Draw(t, "limit"),
+			InFlight: rapid.IntRange(0, 10).Draw(t, "reported"),
+			Queued:   rapid.IntRange(0, 10).Draw(t, "queued"),
+		}
+		m.reportAt = epoch
+		require.GreaterOrEqual(t, m.cost(epoch, &cfg, 0.01), cost)
+		require.True(t, !saturated || m.saturated(epoch, priority, 4))
+	})
+}
+
+// TestNoUpstream guards against a refusal while an upstream is left, and
+// against a call to a draining one.
+func TestNoUpstream(t *testing.T) {
+	b := balancer(nil, service(1)[:1])
+	c, f := b.Pick(epoch, critical)
+	require.Nil(t, f)
+	b.Done(epoch, c, Result{Outcome: chain.NotRun, Reason: chain.ReasonDraining})
+	_, f = b.Pick(epoch, critical)
+	require.Equal(t, chain.ReasonNoUpstream, f.Reason)
+	require.Equal(t, chain.NotRun, f.Outcome)
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	lb := balancer(nil, service(8))
+	b.ReportAllocs()
+	for b.Loop() {
+		c, _ := lb.Pick(epoch, critical)
+		lb.Done(epoch, c, ok)
+	}
+}
--- a/core/balance/links.go
+++ b/core/balance/links.go
@@ -51,9 +51,8 @@
 	return b
 }
 
-// take reserves the expected bytes. Retries may use only the upper half of the
-// bucket, so that first attempts keep their share of the link.
-func (l *Links) take(now time.Time, region string, bytes int64, retry bool) bool {
+// take reserves the expected bytes and leaves the given part of the bucket.
+func (l *Links) take(now time.Time, region string, bytes int64, reserve float64) bool {
 	if l == nil {
 		return false
 	}
@@ -61,7 +60,7 @@
 	defer l.mu.Unlock()
 	b := l.bucket(now, region)
 	left := b.tokens - float64(bytes)
-	if b.rate <= 0 || left < 0 || (retry && left < b.burst/2) {
+	if b.rate <= 0 || left < reserve*b.burst {
 		return false
 	}
 	b.tokens = left
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -20,6 +20,7 @@
 	latencyAt time.Time
 
 	failures     int // consecutive
+	failedAt     time.Time
 	ejections    int // consecutive, for the exponential time
 	ejectedUntil time.Time
 	draining     bool // refused with the reason draining since the last announcement
@@ -32,13 +33,18 @@
 // that a cold upstream gets the calls that warm it up.
 const minWeight = 0.1
 
-// weight rises linearly during the slow start.
-func (m *member) weight(now time.Time, slowStart time.Duration) float64 {
-	age := now.Sub(m.since)
-	if age >= slowStart {
-		return 1
+// trust is 1 for a warm upstream without failures. It rises linearly during
+// the slow start and falls with consecutive failures: ejection is bounded, and
+// this also spares those that may not be ejected.
+func (m *member) trust(now time.Time, slowStart time.Duration) float64 {
+	t := 1.0
+	if age := now.Sub(m.since); age < slowStart {
+		t = max(minWeight, float64(age)/float64(slowStart))
 	}
-	return max(minWeight, float64(age)/float64(slowStart))
+	if m.failures > 0 {
+		t /= 1 + float64(m.failures)*forget(now, m.failedAt)
+	}
+	return t
 }
 
 func (m *member) ejected(now time.Time) bool { return now.Before(m.ejectedUntil) }
@@ -53,30 +59,51 @@
 // saturated reports whether the upstream would refuse or queue the call. A
 // report can only add to what this daemon sees itself: an upstream that reports
 // no load keeps the bound of its declared slots.
-func (m *member) saturated(now time.Time, p chain.Priority) bool {
+func (m *member) saturated(now time.Time, p chain.Priority, slots int) bool {
 	if m.level(now) > p {
 		return true
 	}
-	if m.up.Slots > 0 && m.inFlight >= m.up.Slots {
+	if slots > 0 && m.inFlight >= slots {
 		return true
 	}
 	fresh := now.Sub(m.reportAt) < admit.LevelExpiry
 	return fresh && m.report.Limit > 0 && m.report.Queued >= m.report.Limit
 }
 
-// cost is the product that the choice compares; fallback is the latency of an
-// upstream without samples, in seconds.
-func (m *member) cost(now time.Time, cfg *Config, fallback float64) float64 {
-	latency := m.latency
-	if latency == 0 {
-		latency = fallback
-	}
-	c := float64(m.inFlight+1) * latency
+// forgetTime is the time constant with which a high latency and the failures
+// of an upstream without new samples are forgotten. Without it, an upstream that
+// lost all comparisons would get no call that shows its recovery.
+const forgetTime = 5 * time.Second
+
+func forget(now, since time.Time) float64 {
+	return math.Exp(-max(now.Sub(since), 0).Seconds() / forgetTime.Seconds())
+}
+
+// cost is the product that the choice compares; usual is the average latency of
+// the service in seconds, which stands in for missing samples.
+func (m *member) cost(now time.Time, cfg *Config, usual float64) float64 {
+	c := float64(m.inFlight+1) * m.expectedLatency(now, usual)
 	c *= 1 + float64(m.level(now))/float64(chain.MaxPriority)
-	c *= float64(1 + m.failures) // ejection is bounded, this also moves load away from what may not be ejected
-	return c / m.weight(now, cfg.SlowStart)
+	return c / m.trust(now, cfg.SlowStart)
+}
+
+func (m *member) expectedLatency(now time.Time, usual float64) float64 {
+	if m.latency == 0 {
+		return max(usual, 1e-6) // never zero, or the number in flight would not count
+	}
+	if m.latency <= usual {
+		return m.latency
+	}
+	return usual + (m.latency-usual)*forget(now, m.latencyAt)
 }
 
+const (
+	minSampleWeight = 0.05
+	// maxSampleWeight keeps one slow answer after a pause from turning calls
+	// away for seconds.
+	maxSampleWeight = 0.3
+)
+
 // observeLatency adds a sample to the average, weighted by the time since the
 // last one, so that the average follows the clock and not the call rate.
 func (m *member) observeLatency(now time.Time, sample float64, timeConst time.Duration) {
@@ -86,7 +113,7 @@
 	}
 	dt := max(now.Sub(m.latencyAt).Seconds(), 0)
 	w := 1 - math.Exp(-dt/timeConst.Seconds())
-	w = max(w, 0.05)
+	w = min(max(w, minSampleWeight), maxSampleWeight)
 	m.latency += (sample - m.latency) * w
 	m.latencyAt = now
 }
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -18,12 +18,25 @@
 	return b.pickAny(now, r)
 }
 
+// attempts is the order in which tiers are tried. A cold or suspected upstream
+// is filled up to its declared slots before a call leaves the region.
+var attempts = [...]struct {
+	tier   Tier
+	scaled bool // slots are scaled by trust
+}{
+	{SameAvailabilityZone, true},
+	{SameRegion, true},
+	{SameAvailabilityZone, false},
+	{SameRegion, false},
+	{OtherRegion, true},
+}
+
 // pickWithRoom takes the nearest tier with an upstream that is neither ejected
 // nor saturated.
 func (b *Balancer) pickWithRoom(now time.Time, r Request) (Choice, bool) {
-	for t := range numTiers {
-		candidates := b.candidates(t, r, func(m *member) bool {
-			return !m.ejected(now) && !m.saturated(now, r.Priority)
+	for _, a := range attempts {
+		candidates := b.candidates(a.tier, r, func(m *member) bool {
+			return !m.ejected(now) && !m.saturated(now, r.Priority, b.slots(now, m, a.scaled))
 		})
 		if c, ok := b.choose(now, r, candidates); ok {
 			return c, true
@@ -32,6 +45,16 @@
 	return Choice{}, false
 }
 
+// slots is the number of own calls above which an upstream is saturated.
+// Without the scaling, a cold upstream would get all calls for which warm ones
+// have no room.
+func (b *Balancer) slots(now time.Time, m *member, scaled bool) int {
+	if !scaled || m.up.Slots <= 0 {
+		return m.up.Slots
+	}
+	return max(1, int(float64(m.up.Slots)*m.trust(now, b.cfg.SlowStart)))
+}
+
 // pickAny is used when all tiers are saturated or ejected: the gate of the
 // nearest usable upstream decides by priority. Ejected ones come last, since
 // a suspected upstream is better than none.
@@ -82,7 +105,7 @@
 		if bytes <= 0 {
 			bytes = int64(b.avgBytes)
 		}
-		if !b.cfg.Links.take(now, m.up.Region, bytes, r.Retry) {
+		if !b.cfg.Links.take(now, m.up.Region, bytes, linkReserve(r)) {
 			return Choice{}, false
 		}
 	}
@@ -90,6 +113,18 @@
 	return Choice{Upstream: m.up, Tier: m.tier, Usable: len(candidates), member: m, bytes: bytes}, true
 }
 
+// linkReserve is the part of a link budget that a request must leave, so that
+// refused background work and retries do not spend what bookings need.
+func linkReserve(r Request) float64 {
+	switch {
+	case r.Retry || r.Priority.Class() == chain.Sheddable:
+		return 0.5
+	case r.Priority.Class() == chain.Default:
+		return 0.25
+	}
+	return 0
+}
+
 func (b *Balancer) better(now time.Time, candidates []*member) *member {
 	n := len(candidates)
 	if n == 1 {
@@ -101,8 +136,7 @@
 		j++
 	}
 	x, y := candidates[i], candidates[j]
-	fallback := max(x.latency, y.latency, 0.001)
-	if y.cost(now, &b.cfg, fallback) < x.cost(now, &b.cfg, fallback) {
+	if y.cost(now, &b.cfg, b.usual) < x.cost(now, &b.cfg, b.usual) {
 		return y
 	}
 	return x
@@ -135,18 +169,27 @@
 	switch {
 	case r.Outcome == chain.OK:
 		m.failures, m.ejections = 0, 0
+		b.observeUsual(latency)
 		m.observeLatency(now, latency, b.cfg.LatencyTimeConst)
 	case r.Reason == chain.ReasonDraining:
 		m.draining = true
 	case isFault(r):
 		m.failures++
-		if latency > m.latency { // a fast failure must not make an upstream look fast
+		m.failedAt = now
+		if b.usual > 0 && latency > max(m.latency, b.usual) { // a fast failure must not look like a fast upstream
 			m.observeLatency(now, latency, b.cfg.LatencyTimeConst)
 		}
 		b.maybeEject(now, m)
 	}
 }
 
+func (b *Balancer) observeUsual(latency float64) {
+	if b.usual == 0 {
+		b.usual = latency
+	}
+	b.usual += (latency - b.usual) / 32
+}
+
 // isFault reports whether a result speaks against the upstream itself: refusals
 // under load, faults further down and callers that left do not.
 func isFault(r Result) bool {
