--- /dev/null
+++ b/core/state/claims.go
@@ -0,0 +1,304 @@
+package state
+
+import (
+	"bytes"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+// Times of the claims machine.
+const (
+	// DefaultRetention is how long after the creation of a key its claim is
+	// kept.
+	DefaultRetention = 24 * time.Hour
+	// maxKeyAhead bounds how far a caller's clock may run ahead.
+	maxKeyAhead = 5 * time.Minute
+	// unknownMargin is added to a claim's deadline before it counts as
+	// unknown, to cover the time between the end of the work and the record
+	// of its end.
+	unknownMargin = 5 * time.Second
+	// bucketWidth groups claims by the time of their key for removal.
+	bucketWidth = time.Minute
+)
+
+// MaxStoredBody is the size in bytes above which the body of an answer is not
+// kept with its claim.
+const MaxStoredBody = 16 << 10
+
+// maxForgottenPerCommand bounds the removals that one command causes, so that
+// no command takes long. Removal order does not matter for safety: a key below
+// the horizon is refused whether its claim is still stored or not.
+const maxForgottenPerCommand = 64
+
+// Claims is the state machine of a claim group. A claim is absent, claimed,
+// finished or released:
+//
+//	absent   -> claimed    by Claim
+//	claimed  -> finished   by Finish of the same claimant
+//	claimed  -> released   by Release of the same claimant
+//	absent   -> released   by Release, so that a claim that is overtaken by its own release has no effect
+//	released -> claimed    by Claim of another claimant
+//
+// A claim is removed when the creation time of its key falls behind the
+// horizon. The horizon never goes back, and a key behind it is refused, so a
+// key that is no longer stored never runs again.
+type Claims struct {
+	retentionMs int64
+	nowMs       int64 // highest leader stamp seen
+	horizonMs   int64
+	claims      map[claimID]*api.StoredClaim
+	buckets     map[int64][]claimID // by key time / bucketWidth
+	oldest      int64               // no bucket below this one exists
+}
+
+type claimID struct {
+	service, route, key string
+}
+
+// NewClaims returns an empty machine that keeps claims for the given time.
+func NewClaims(retention time.Duration) *Claims {
+	if retention <= 0 {
+		retention = DefaultRetention
+	}
+	m := &Claims{retentionMs: retention.Milliseconds()}
+	m.reset()
+	return m
+}
+
+func (m *Claims) reset() {
+	m.nowMs = 0
+	m.horizonMs = 0
+	m.oldest = 0
+	m.claims = make(map[claimID]*api.StoredClaim)
+	m.buckets = make(map[int64][]claimID)
+}
+
+// Len is the number of claims stored.
+func (m *Claims) Len() int { return len(m.claims) }
+
+// Apply executes a marshalled api.ClaimCommand and returns a marshalled
+// api.ClaimCommandResult. A command that cannot be decoded changes nothing and
+// gives an empty result.
+func (m *Claims) Apply(_ uint64, command []byte) []byte {
+	var cmd api.ClaimCommand
+	var res api.ClaimCommandResult
+	if err := decode("claim command", command, &cmd); err != nil {
+		return encode(&res)
+	}
+	m.advance(cmd.UnixMs)
+	switch op := cmd.Operation.(type) {
+	case *api.ClaimCommand_Claim:
+		res.Claim = m.claim(op.Claim)
+	case *api.ClaimCommand_Finish:
+		res.Finish = &api.FinishClaimResponse{Recorded: m.finish(op.Finish)}
+	case *api.ClaimCommand_Release:
+		res.Release = &api.ReleaseClaimResponse{Released: m.release(op.Release)}
+	}
+	return encode(&res)
+}
+
+// advance moves time and the horizon forward; neither ever goes back, whatever
+// the clock of a new leader says.
+func (m *Claims) advance(unixMs int64) {
+	m.nowMs = max(m.nowMs, unixMs)
+	m.horizonMs = max(m.horizonMs, m.nowMs-m.retentionMs)
+	m.forget()
+}
+
+func (m *Claims) forget() {
+	if len(m.buckets) == 0 {
+		return
+	}
+	limit := m.horizonMs / bucketWidth.Milliseconds()
+	if m.oldest == 0 {
+		m.oldest = m.lowestBucket()
+	}
+	for budget := maxForgottenPerCommand; m.oldest < limit && budget > 0; budget-- {
+		ids := m.buckets[m.oldest]
+		if len(ids) == 0 {
+			delete(m.buckets, m.oldest)
+			m.oldest++
+			continue
+		}
+		last := len(ids) - 1
+		delete(m.claims, ids[last])
+		m.buckets[m.oldest] = ids[:last]
+	}
+}
+
+func (m *Claims) lowestBucket() int64 {
+	lowest := int64(0)
+	for b := range m.buckets {
+		if lowest == 0 || b < lowest {
+			lowest = b
+		}
+	}
+	return lowest
+}
+
+func claimResponse(s api.ClaimStatus) *api.ClaimResponse { return &api.ClaimResponse{Status: s} }
+
+func (m *Claims) claim(r *api.ClaimRequest) *api.ClaimResponse {
+	id, keyMs, ok := parseClaimKey(r.GetKey())
+	if !ok || r.Claimant == "" {
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_UNSPECIFIED)
+	}
+	if keyMs < m.horizonMs {
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_KEY_EXPIRED)
+	}
+	if keyMs > m.nowMs+maxKeyAhead.Milliseconds() {
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_KEY_IN_FUTURE)
+	}
+	c, exists := m.claims[id]
+	switch {
+	case !exists:
+		m.store(id, keyMs, m.newClaim(r))
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_GRANTED)
+	case c.State == api.ClaimState_CLAIM_STATE_RELEASED:
+		return m.claimReleased(id, c, r)
+	case !bytes.Equal(c.Fingerprint, r.Fingerprint):
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_KEY_REUSED)
+	case c.State == api.ClaimState_CLAIM_STATE_FINISHED:
+		return &api.ClaimResponse{Status: api.ClaimStatus_CLAIM_STATUS_FINISHED, Answer: c.Answer}
+	case c.Claimant == r.Claimant:
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_GRANTED)
+	case m.nowMs > c.DeadlineMs+unknownMargin.Milliseconds():
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_UNKNOWN)
+	}
+	return claimResponse(api.ClaimStatus_CLAIM_STATUS_IN_PROGRESS)
+}
+
+// claimReleased refuses the claimant that has released, whose request was a
+// late duplicate, and grants any other.
+func (m *Claims) claimReleased(id claimID, c *api.StoredClaim, r *api.ClaimRequest) *api.ClaimResponse {
+	if c.Claimant == r.Claimant {
+		return claimResponse(api.ClaimStatus_CLAIM_STATUS_UNKNOWN)
+	}
+	m.claims[id] = m.newClaim(r)
+	return claimResponse(api.ClaimStatus_CLAIM_STATUS_GRANTED)
+}
+
+func (m *Claims) newClaim(r *api.ClaimRequest) *api.StoredClaim {
+	return &api.StoredClaim{
+		Key: r.Key, State: api.ClaimState_CLAIM_STATE_CLAIMED, Claimant: r.Claimant,
+		Fingerprint: r.Fingerprint, DeadlineMs: m.nowMs + max(r.RemainingMs, 0),
+	}
+}
+
+func (m *Claims) store(id claimID, keyMs int64, c *api.StoredClaim) {
+	m.claims[id] = c
+	bucket := keyMs / bucketWidth.Milliseconds()
+	m.buckets[bucket] = append(m.buckets[bucket], id)
+	if m.oldest > bucket {
+		m.oldest = bucket
+	}
+}
+
+func (m *Claims) finish(r *api.FinishClaimRequest) bool {
+	id, keyMs, ok := parseClaimKey(r.GetKey())
+	if !ok || keyMs < m.horizonMs {
+		return false
+	}
+	c, exists := m.claims[id]
+	if !exists || c.Claimant != r.Claimant {
+		return false
+	}
+	switch c.State {
+	case api.ClaimState_CLAIM_STATE_FINISHED:
+		return true // a resend: the first answer stands
+	case api.ClaimState_CLAIM_STATE_CLAIMED:
+		c.State = api.ClaimState_CLAIM_STATE_FINISHED
+		c.Answer = trimAnswer(r.Answer)
+		return true
+	}
+	return false
+}
+
+func trimAnswer(a *api.StoredAnswer) *api.StoredAnswer {
+	if a == nil {
+		return &api.StoredAnswer{BodyOmitted: true}
+	}
+	if len(a.Body) > MaxStoredBody {
+		return &api.StoredAnswer{HttpStatus: a.HttpStatus, ContentType: a.ContentType, BodyOmitted: true}
+	}
+	return a
+}
+
+func (m *Claims) release(r *api.ReleaseClaimRequest) bool {
+	id, keyMs, ok := parseClaimKey(r.GetKey())
+	if !ok || r.Claimant == "" || keyMs < m.horizonMs {
+		return false
+	}
+	c, exists := m.claims[id]
+	if !exists {
+		return m.releaseAbsent(id, keyMs, r)
+	}
+	if c.Claimant != r.Claimant || c.State == api.ClaimState_CLAIM_STATE_FINISHED {
+		return false
+	}
+	c.State = api.ClaimState_CLAIM_STATE_RELEASED
+	return true
+}
+
+// releaseAbsent records the release of a claim that has not arrived yet.
+func (m *Claims) releaseAbsent(id claimID, keyMs int64, r *api.ReleaseClaimRequest) bool {
+	if keyMs > m.nowMs+maxKeyAhead.Milliseconds() {
+		return false
+	}
+	m.store(id, keyMs, &api.StoredClaim{
+		Key: r.Key, State: api.ClaimState_CLAIM_STATE_RELEASED, Claimant: r.Claimant,
+	})
+	return true
+}
+
+// parseClaimKey checks a key and reads its creation time in Unix milliseconds
+// from the first 48 bits of the UUID version 7.
+func parseClaimKey(k *api.ClaimKey) (claimID, int64, bool) {
+	id := claimID{k.GetService(), k.GetRoute(), strings.ToLower(k.GetKey())}
+	const canonicalLength, versionOffset = 36, 14
+	if len(id.key) != canonicalLength || id.key[versionOffset] != '7' {
+		return id, 0, false
+	}
+	raw, err := hex.DecodeString(strings.ReplaceAll(id.key, "-", ""))
+	if err != nil || len(raw) != 16 {
+		return id, 0, false
+	}
+	ms := int64(0)
+	for _, b := range raw[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return id, ms, true
+}
+
+// Snapshot returns the whole state.
+func (m *Claims) Snapshot() ([]byte, error) {
+	s := &api.ClaimSnapshot{NowMs: m.nowMs, HorizonMs: m.horizonMs}
+	byName := make(map[string]*api.StoredClaim, len(m.claims))
+	for id, c := range m.claims {
+		byName[id.service+"\x00"+id.route+"\x00"+id.key] = c
+	}
+	for _, name := range sortedKeys(byName) {
+		s.Claims = append(s.Claims, byName[name])
+	}
+	return encode(s), nil
+}
+
+// Restore replaces the whole state. On error the state is unchanged.
+func (m *Claims) Restore(data []byte) error {
+	var s api.ClaimSnapshot
+	if err := decode("claim snapshot", data, &s); err != nil {
+		return err
+	}
+	m.reset()
+	m.nowMs = s.NowMs
+	m.horizonMs = s.HorizonMs
+	for _, c := range s.Claims {
+		if id, keyMs, ok := parseClaimKey(c.Key); ok {
+			m.store(id, keyMs, c)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/state/seed_test.go
@@ -0,0 +1,6 @@
+package state
+
+import "flag"
+
+// A fixed seed gives the same verdict in each run; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
