core/raft: message-driven Raft core

Cause: the control processes need a replicated log that can be tested without network, disk and clock.

--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,151 @@
+package raft
+
+import "github.com/bilberrydeck/bilberrydeck/api"
+
+func (r *Raft) resetElectionTimer() {
+	r.electionElapsed = 0
+	r.electionTimeout = r.cfg.ElectionTicks + r.random.IntN(r.cfg.ElectionTicks)
+}
+
+// leaderIsLive reports whether this replica leads, or heard its leader within
+// the minimum election timeout.
+func (r *Raft) leaderIsLive() bool {
+	return r.role == Leader || r.leader != nil && r.electionElapsed < r.cfg.ElectionTicks
+}
+
+func (r *Raft) becomeFollower(term uint64, leader *api.ReplicaRef) {
+	if term > r.term {
+		r.term = term
+		r.vote = nil
+	}
+	r.role = Follower
+	r.setLeader(leader)
+	r.votes = nil
+	r.progress = nil
+	r.rounds = leaderRounds{}
+	r.resetElectionTimer()
+}
+
+func (r *Raft) setLeader(leader *api.ReplicaRef) {
+	r.leader = leader
+	r.replies = followerReplies{term: r.term}
+}
+
+// followLeader accepts the sender of an append, heartbeat or snapshot of the
+// current term as leader.
+func (r *Raft) followLeader(from *api.ReplicaRef) {
+	switch {
+	case r.role != Follower:
+		r.becomeFollower(r.term, from)
+	case !sameReplica(r.leader, from):
+		r.setLeader(from)
+	}
+	r.electionElapsed = 0
+}
+
+// campaign starts an election. A pre-candidate asks whether it could win
+// without raising its term, so that a replica that was cut off for long does
+// not disturb the group when it returns.
+func (r *Raft) campaign(role Role) {
+	kind := api.ReplicaMessage_KIND_PRE_VOTE
+	term := r.term + 1
+	if role == Candidate {
+		kind = api.ReplicaMessage_KIND_VOTE
+		r.term = term
+		r.vote = r.cfg.Self
+		r.elections++
+	}
+	r.role = role
+	r.setLeader(nil)
+	r.votes = map[uint64]bool{r.cfg.Self.Id: true}
+	r.resetElectionTimer()
+	for _, ref := range members(r.sets.current()) {
+		if ref.Id == r.cfg.Self.Id || !isVoter(r.sets.current(), ref.Id) {
+			continue
+		}
+		r.send(ref, &api.ReplicaMessage{Kind: kind, Term: term, LogIndex: r.log.last(), LogTerm: r.log.lastTerm()})
+	}
+	r.countVotes()
+}
+
+func (r *Raft) handleVoteRequest(m *api.ReplicaMessage) {
+	pre := m.Kind == api.ReplicaMessage_KIND_PRE_VOTE
+	free := r.vote == nil && r.leader == nil || sameReplica(r.vote, m.From)
+	if pre {
+		free = m.Term > r.term
+	}
+	granted := free && r.log.upToDate(m.LogIndex, m.LogTerm)
+	reply := &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_VOTE_REPLY, Term: r.term, Reject: !granted}
+	if pre {
+		reply.Kind = api.ReplicaMessage_KIND_PRE_VOTE_REPLY
+		if granted {
+			reply.Term = m.Term
+		}
+	}
+	if granted && !pre {
+		r.vote = &api.ReplicaRef{Id: m.From.Id, DiskId: m.From.DiskId}
+		r.electionElapsed = 0
+	}
+	r.send(m.From, reply)
+}
+
+func (r *Raft) handleVoteReply(m *api.ReplicaMessage) {
+	pre := m.Kind == api.ReplicaMessage_KIND_PRE_VOTE_REPLY
+	expected := pre && r.role == PreCandidate || !pre && r.role == Candidate
+	if !expected {
+		return
+	}
+	if pre && !m.Reject && m.Term != r.term+1 {
+		return // granted for an earlier pre-vote
+	}
+	if _, voted := r.votes[m.From.Id]; !voted {
+		r.votes[m.From.Id] = !m.Reject
+	}
+	r.countVotes()
+}
+
+func (r *Raft) countVotes() {
+	set := r.sets.current()
+	if quorum(set, func(id uint64) bool { return r.votes[id] }) {
+		if r.role == PreCandidate {
+			r.campaign(Candidate)
+		} else {
+			r.becomeLeader()
+		}
+		return
+	}
+	possible := func(id uint64) bool {
+		granted, voted := r.votes[id]
+		return granted || !voted
+	}
+	if !quorum(set, possible) {
+		r.becomeFollower(r.term, nil)
+	}
+}
+
+func (r *Raft) becomeLeader() {
+	r.role = Leader
+	r.setLeader(r.cfg.Self)
+	r.votes = nil
+	r.electionElapsed = 0
+	r.heartbeatElapsed = 0
+	r.progress = map[uint64]*progress{}
+	r.rounds = leaderRounds{}
+	r.syncProgress()
+	// An entry of the own term must commit before earlier entries count as
+	// committed (Raft paper, section 5.4.2).
+	r.appendEntry(&api.Entry{Kind: api.EntryKind_ENTRY_KIND_EMPTY})
+	r.broadcastHeartbeat()
+}
+
+// quorumActive reports whether the leader heard a quorum since the last call.
+func (r *Raft) quorumActive() bool {
+	active := quorum(r.sets.current(), func(id uint64) bool {
+		p := r.progress[id]
+		return id == r.cfg.Self.Id || p != nil && p.active
+	})
+	for _, p := range r.progress {
+		p.active = false
+	}
+	return active
+}
--- /dev/null
+++ b/core/raft/errors.go
@@ -0,0 +1,47 @@
+package raft
+
+import (
+	"fmt"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+// NotLeaderError is returned for a proposal to a replica that is not the
+// leader. The proposal was not appended anywhere.
+type NotLeaderError struct {
+	Leader *api.ReplicaRef // nil if unknown
+}
+
+func (e *NotLeaderError) Error() string {
+	if e.Leader == nil {
+		return "not the leader; no leader is known"
+	}
+	return fmt.Sprintf("not the leader; the leader is replica %d at %s", e.Leader.Id, e.Leader.Address)
+}
+
+// ReplacementInProgressError is returned while another replacement has not
+// completed.
+type ReplacementInProgressError struct {
+	OldID, NewID uint64
+}
+
+func (e *ReplacementInProgressError) Error() string {
+	return fmt.Sprintf("the replacement of replica %d by replica %d is in progress", e.OldID, e.NewID)
+}
+
+// NotReadyError is returned for a replacement before the leader has committed
+// an entry of its own term. The caller retries.
+type NotReadyError struct{}
+
+func (e *NotReadyError) Error() string {
+	return "the leader has not committed an entry of its term yet"
+}
+
+// ReplicaIDError is returned for a replacement that names an unknown old
+// replica, or a new replica whose id is in use.
+type ReplicaIDError struct {
+	ID     uint64
+	Reason string
+}
+
+func (e *ReplicaIDError) Error() string { return fmt.Sprintf("replica %d: %s", e.ID, e.Reason) }
--- /dev/null
+++ b/core/raft/raft.go
@@ -0,0 +1,285 @@
+// Package raft replicates a log between the replicas of one group: leader
+// election with pre-vote and check-quorum, log replication, snapshots, read
+// confirmation and the replacement of a replica by joint consensus.
+//
+// The package performs no I/O. The caller passes in messages and ticks, then
+// takes a Ready: it writes and syncs the hard state, entries and snapshot,
+// sends the messages, applies the committed entries and calls Advance.
+package raft
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+// Role is the part a replica plays in the current term.
+type Role uint8
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the name used in logs.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// HardState must be durable before any message of the same Ready is sent.
+type HardState struct {
+	Term       uint64
+	VoteID     uint64 // 0 if the replica has not voted in this term
+	VoteDiskID string
+	Commit     uint64 // a hint; need not be synced on its own
+}
+
+// Snapshot is the state of the machine up to an index.
+type Snapshot struct {
+	Meta *api.SnapshotMeta
+	Data []byte
+}
+
+// Config describes one replica and the durable state it starts from.
+type Config struct {
+	Self           *api.ReplicaRef
+	HeartbeatTicks int    // ticks between heartbeat rounds; 0 means 2
+	ElectionTicks  int    // minimum election timeout in ticks, the maximum is twice that; 0 means 10
+	MaxAppendBytes int    // limit of entry data in one append; 0 means 1 MiB
+	MaxInflight    int    // unacknowledged appends per follower; 0 means 64
+	Trailing       uint64 // entries kept before a snapshot, for replicas that lag a little
+	SnapshotRetry  int    // heartbeat replies after which an unanswered snapshot is sent again; 0 means 300
+	Seed           uint64
+
+	HardState HardState
+	Snapshot  *Snapshot    // nil if there is none
+	Entries   []*api.Entry // durable entries after the snapshot
+}
+
+func (c *Config) setDefaults() {
+	if c.HeartbeatTicks == 0 {
+		c.HeartbeatTicks = 2
+	}
+	if c.ElectionTicks == 0 {
+		c.ElectionTicks = 10
+	}
+	if c.MaxAppendBytes == 0 {
+		c.MaxAppendBytes = 1 << 20
+	}
+	if c.MaxInflight == 0 {
+		c.MaxInflight = 64
+	}
+	if c.SnapshotRetry == 0 {
+		c.SnapshotRetry = 300 // 30 s at a round per 100 ms, enough for a large snapshot on a slow link
+	}
+}
+
+// Raft is one replica of one group. It is not safe for concurrent use.
+type Raft struct {
+	cfg    Config
+	random *rand.Rand
+	now    time.Time
+
+	role     Role
+	term     uint64
+	vote     *api.ReplicaRef // nil if the replica has not voted in this term
+	leader   *api.ReplicaRef // nil if unknown
+	log      *raftLog
+	sets     setHistory
+	votes    map[uint64]bool
+	progress map[uint64]*progress
+
+	electionElapsed  int
+	heartbeatElapsed int
+	electionTimeout  int
+
+	rounds  leaderRounds
+	replies followerReplies
+	confirm confirmations
+
+	messages  []*api.ReplicaMessage
+	lastHard  HardState
+	pending   *Snapshot // received and not yet handed out
+	ready     *Ready    // handed out and not yet advanced
+	foreign   uint64
+	elections uint64
+}
+
+// New returns a replica that continues from the durable state in cfg. It is a
+// follower; without a replica set it waits for a leader to contact it.
+func New(cfg Config) *Raft {
+	cfg.setDefaults()
+	r := &Raft{
+		cfg:    cfg,
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Id)),
+		term:   cfg.HardState.Term,
+		log:    newLog(cfg.Snapshot, cfg.Entries, cfg.HardState.Commit),
+	}
+	if cfg.HardState.VoteID != 0 {
+		r.vote = &api.ReplicaRef{Id: cfg.HardState.VoteID, DiskId: cfg.HardState.VoteDiskID}
+	}
+	if cfg.Snapshot != nil {
+		r.sets.reset(cfg.Snapshot.Meta.Index, cfg.Snapshot.Meta.Replicas)
+	}
+	for _, e := range cfg.Entries {
+		r.sets.appended(e)
+	}
+	r.lastHard = r.hardState()
+	r.resetElectionTimer()
+	return r
+}
+
+// Step handles a message from another replica. A message that names another
+// replica or another disk is ignored and counted.
+func (r *Raft) Step(now time.Time, m *api.ReplicaMessage) {
+	r.now = now
+	if !r.concerns(m) {
+		r.foreign++
+		return
+	}
+	if m.Term > r.term && !r.stepHigherTerm(m) {
+		return
+	}
+	if m.Term < r.term {
+		r.answerStale(m)
+		return
+	}
+	r.dispatch(m)
+}
+
+// concerns reports whether both ends of m are the replicas this one knows
+// under these ids. A replica that came back with a new disk has forgotten its
+// votes, so nothing it sends or receives may count for the former identity.
+func (r *Raft) concerns(m *api.ReplicaMessage) bool {
+	if m.From == nil || m.To == nil {
+		return false
+	}
+	if !sameReplica(m.To, r.cfg.Self) || m.From.Id == r.cfg.Self.Id {
+		return false
+	}
+	known := find(r.sets.current(), m.From.Id)
+	return known == nil || known.DiskId == m.From.DiskId
+}
+
+// stepHigherTerm handles the term of m and reports whether m is to be
+// processed further.
+func (r *Raft) stepHigherTerm(m *api.ReplicaMessage) bool {
+	switch m.Kind {
+	case api.ReplicaMessage_KIND_PRE_VOTE:
+		return !r.leaderIsLive()
+	case api.ReplicaMessage_KIND_VOTE:
+		// A replica that returns from a partition must not depose a leader
+		// that a quorum still hears.
+		if r.leaderIsLive() {
+			return false
+		}
+		r.becomeFollower(m.Term, nil)
+	case api.ReplicaMessage_KIND_PRE_VOTE_REPLY:
+		if m.Reject {
+			r.becomeFollower(m.Term, nil)
+		}
+	case api.ReplicaMessage_KIND_APPEND, api.ReplicaMessage_KIND_HEARTBEAT, api.ReplicaMessage_KIND_SNAPSHOT:
+		r.becomeFollower(m.Term, m.From)
+	default:
+		r.becomeFollower(m.Term, nil)
+	}
+	return true
+}
+
+// answerStale tells a sender with an old term about the current one, so that
+// a leader of an old term steps down.
+func (r *Raft) answerStale(m *api.ReplicaMessage) {
+	switch m.Kind {
+	case api.ReplicaMessage_KIND_PRE_VOTE:
+		r.send(m.From, &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_PRE_VOTE_REPLY, Term: r.term, Reject: true})
+	case api.ReplicaMessage_KIND_VOTE:
+		r.send(m.From, &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_VOTE_REPLY, Term: r.term, Reject: true})
+	case api.ReplicaMessage_KIND_APPEND, api.ReplicaMessage_KIND_HEARTBEAT, api.ReplicaMessage_KIND_SNAPSHOT:
+		r.send(m.From, &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_APPEND_REPLY, Term: r.term, Reject: true})
+	}
+}
+
+func (r *Raft) dispatch(m *api.ReplicaMessage) {
+	switch m.Kind {
+	case api.ReplicaMessage_KIND_PRE_VOTE, api.ReplicaMessage_KIND_VOTE:
+		r.handleVoteRequest(m)
+	case api.ReplicaMessage_KIND_PRE_VOTE_REPLY, api.ReplicaMessage_KIND_VOTE_REPLY:
+		r.handleVoteReply(m)
+	case api.ReplicaMessage_KIND_APPEND:
+		r.followLeader(m.From)
+		r.handleAppend(m)
+	case api.ReplicaMessage_KIND_HEARTBEAT:
+		r.followLeader(m.From)
+		r.handleHeartbeat(m)
+	case api.ReplicaMessage_KIND_SNAPSHOT:
+		r.followLeader(m.From)
+		r.handleSnapshot(m)
+	default:
+		if p := r.progress[m.From.Id]; p != nil && r.role == Leader {
+			p.active = true
+			r.handleReply(p, m)
+		}
+	}
+}
+
+func (r *Raft) handleReply(p *progress, m *api.ReplicaMessage) {
+	switch m.Kind {
+	case api.ReplicaMessage_KIND_APPEND_REPLY:
+		r.handleAppendReply(p, m)
+	case api.ReplicaMessage_KIND_SNAPSHOT_REPLY:
+		r.handleAppendReply(p, m)
+	case api.ReplicaMessage_KIND_HEARTBEAT_REPLY:
+		r.handleHeartbeatReply(p, m)
+	}
+}
+
+// Tick advances the timers by one tick.
+func (r *Raft) Tick(now time.Time) {
+	r.now = now
+	r.electionElapsed++
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.electionElapsed >= r.electionTimeout && isVoter(r.sets.current(), r.cfg.Self.Id) {
+		r.campaign(PreCandidate)
+	}
+}
+
+func (r *Raft) tickLeader() {
+	if r.electionElapsed >= r.cfg.ElectionTicks {
+		r.electionElapsed = 0
+		if !r.quorumActive() {
+			r.becomeFollower(r.term, nil)
+			return
+		}
+	}
+	r.heartbeatElapsed++
+	if r.heartbeatElapsed >= r.cfg.HeartbeatTicks {
+		r.heartbeatElapsed = 0
+		r.broadcastHeartbeat()
+	}
+}
+
+func (r *Raft) send(to *api.ReplicaRef, m *api.ReplicaMessage) {
+	m.From = r.cfg.Self
+	m.To = to
+	r.messages = append(r.messages, m)
+}
+
+func (r *Raft) hardState() HardState {
+	hs := HardState{Term: r.term, Commit: r.log.committed}
+	if r.vote != nil {
+		hs.VoteID = r.vote.Id
+		hs.VoteDiskID = r.vote.DiskId
+	}
+	return hs
+}
+
+func sameReplica(a, b *api.ReplicaRef) bool {
+	return a != nil && b != nil && a.Id == b.Id && a.DiskId == b.DiskId
+}
--- /dev/null
+++ b/core/raft/ready.go
@@ -0,0 +1,110 @@
+package raft
+
+import (
+	"math"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+// Ready is the work that follows from the messages and ticks so far.
+type Ready struct {
+	HardState *HardState            // to write; nil if unchanged
+	Snapshot  *Snapshot             // to store and to restore the machine from; nil if none
+	Entries   []*api.Entry          // to write; they replace what is stored from the first index on
+	Messages  []*api.ReplicaMessage // to send only after the sync
+	Committed []*api.Entry          // to apply, after the snapshot
+	MustSync  bool                  // false if only the commit index changed
+}
+
+// Empty reports whether there is nothing to do.
+func (rd *Ready) Empty() bool {
+	return rd.HardState == nil && rd.Snapshot == nil && len(rd.Entries)+len(rd.Messages)+len(rd.Committed) == 0
+}
+
+// Ready returns the outstanding work. Advance must follow before the next
+// call.
+func (r *Raft) Ready() Ready {
+	r.flushAppends()
+	rd := Ready{
+		Snapshot:  r.pending,
+		Entries:   r.log.slice(r.log.stable+1, r.log.last(), math.MaxInt),
+		Messages:  r.messages,
+		Committed: r.log.slice(r.log.applied+1, r.log.committed, math.MaxInt),
+	}
+	hs := r.hardState()
+	if hs != r.lastHard {
+		rd.HardState = &hs
+	}
+	commitOnly := hs
+	commitOnly.Commit = r.lastHard.Commit
+	rd.MustSync = rd.Snapshot != nil || len(rd.Entries) > 0 || commitOnly != r.lastHard
+	r.lastHard = hs
+	r.messages = nil
+	r.pending = nil
+	r.ready = &rd
+	return rd
+}
+
+// Advance tells the replica that the last Ready was written, synced, sent and
+// applied.
+func (r *Raft) Advance() {
+	rd := r.ready
+	r.ready = nil
+	if n := len(rd.Entries); n > 0 {
+		r.log.stable = max(r.log.stable, rd.Entries[n-1].Index)
+	}
+	if n := len(rd.Committed); n > 0 {
+		r.log.applied = max(r.log.applied, rd.Committed[n-1].Index)
+	}
+	if r.role != Leader {
+		return
+	}
+	if p := r.progress[r.cfg.Self.Id]; p != nil {
+		p.match = r.log.stable
+	}
+	r.advanceCommit()
+}
+
+// Status is a view of a replica for logs, metrics and tests.
+type Status struct {
+	Role            Role
+	Term            uint64
+	Leader          *api.ReplicaRef // nil if unknown
+	First, Last     uint64          // first and last index in the log
+	Commit, Applied uint64
+	Set             *api.ReplicaSet   // nil if unknown
+	SetCommitted    bool              // the set in effect is committed
+	Match           map[uint64]uint64 // on the leader: durable index by replica id
+	Foreign         uint64            // messages ignored for naming another replica or disk
+	Elections       uint64            // elections this replica started
+}
+
+// Status returns the current view.
+func (r *Raft) Status() Status {
+	s := Status{
+		Role: r.role, Term: r.term, Leader: r.leader, First: r.log.offset + 1, Last: r.log.last(),
+		Commit: r.log.committed, Applied: r.log.applied, Set: r.sets.current(),
+		SetCommitted: r.sets.index() <= r.log.committed, Foreign: r.foreign, Elections: r.elections,
+	}
+	if r.role == Leader {
+		s.Match = map[uint64]uint64{}
+		for id, p := range r.progress {
+			s.Match[id] = p.match
+		}
+	}
+	return s
+}
+
+// Role returns the current role without building a Status.
+func (r *Raft) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Raft) Term() uint64 { return r.term }
+
+// ConfirmationAge returns an upper bound of the time since a leader confirmed
+// with a quorum that the local commit index covers all commits of that time;
+// false if there was no confirmation since the start.
+func (r *Raft) ConfirmationAge(now time.Time) (time.Duration, bool) {
+	return r.confirm.age(now)
+}
