--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -108,3 +108,12 @@
 func (r *Raft) ConfirmationAge(now time.Time) (time.Duration, bool) {
 	return r.confirm.age(now)
 }
+
+// ConfirmedAt returns the time on the local clock from which ConfirmationAge
+// counts; false if there was no confirmation since the start.
+func (r *Raft) ConfirmedAt() (time.Time, bool) {
+	if r.confirm.valid == nil {
+		return time.Time{}, false
+	}
+	return r.confirm.valid.at, true
+}
--- /dev/null
+++ b/storage/frame.go
@@ -0,0 +1,185 @@
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/raft"
+)
+
+// A segment is a sequence of frames. A frame holds all records of one write:
+//
+//	magic    4 bytes
+//	length   4 bytes, of the payload
+//	checksum 4 bytes, CRC-32C of length and payload
+//	reserved 4 bytes, zero
+//	payload  records, padded with zeros to a multiple of 8
+//
+// A frame is synced before the next one is written. So an unreadable frame
+// with a readable one after it was durable once and is corrupt, and an
+// unreadable frame without one is a write that a crash cut off.
+const (
+	frameHeader = 16
+	frameAlign  = 8
+	// maxFrame bounds the length field, so that a damaged one is not trusted.
+	maxFrame = 1 << 30
+)
+
+var (
+	frameMagic = [4]byte{'B', 'D', 'W', '1'}
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+type recordType byte
+
+const (
+	recordPadding   recordType = 0
+	recordEntry     recordType = 1
+	recordHardState recordType = 2
+	recordReset     recordType = 3 // the log continues after an installed snapshot
+)
+
+// appendRecord adds one record: type, length, content.
+func appendRecord(payload []byte, t recordType, content []byte) []byte {
+	payload = append(payload, byte(t))
+	payload = binary.AppendUvarint(payload, uint64(len(content)))
+	return append(payload, content...)
+}
+
+func appendHardState(payload []byte, hs raft.HardState) []byte {
+	content := binary.AppendUvarint(nil, hs.Term)
+	content = binary.AppendUvarint(content, hs.VoteID)
+	content = binary.AppendUvarint(content, hs.Commit)
+	content = append(content, hs.VoteDiskID...)
+	return appendRecord(payload, recordHardState, content)
+}
+
+func appendReset(payload []byte, index uint64) []byte {
+	return appendRecord(payload, recordReset, binary.AppendUvarint(nil, index))
+}
+
+func appendEntry(payload []byte, e *api.Entry) ([]byte, error) {
+	content, err := proto.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	return appendRecord(payload, recordEntry, content), nil
+}
+
+// sealFrame puts the header in front of a payload that starts after
+// frameHeader reserved bytes.
+func sealFrame(frame []byte) []byte {
+	for len(frame)%frameAlign != 0 {
+		frame = append(frame, byte(recordPadding))
+	}
+	copy(frame, frameMagic[:])
+	binary.LittleEndian.PutUint32(frame[4:], uint32(len(frame)-frameHeader))
+	binary.LittleEndian.PutUint32(frame[8:], frameChecksum(frame))
+	return frame
+}
+
+func frameChecksum(frame []byte) uint32 {
+	sum := crc32.Update(0, castagnoli, frame[4:8])
+	return crc32.Update(sum, castagnoli, frame[frameHeader:])
+}
+
+// readFrame returns the payload of the frame at the start of data and the
+// length of the whole frame; ok is false if there is no readable frame.
+func readFrame(data []byte) (payload []byte, size int, ok bool) {
+	if len(data) < frameHeader || [4]byte(data[:4]) != frameMagic {
+		return nil, 0, false
+	}
+	length := binary.LittleEndian.Uint32(data[4:])
+	size = frameHeader + int(length)
+	if length > maxFrame || size > len(data) || length%frameAlign != 0 {
+		return nil, 0, false
+	}
+	if frameChecksum(data[:size]) != binary.LittleEndian.Uint32(data[8:]) {
+		return nil, 0, false
+	}
+	return data[frameHeader:size], size, true
+}
+
+// frameAfter reports whether a readable frame exists after offset.
+func frameAfter(data []byte, offset int) bool {
+	for at := offset + frameAlign; at+frameHeader <= len(data); at += frameAlign {
+		if _, _, ok := readFrame(data[at:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// contents is what a log replays to.
+type contents struct {
+	hard    raft.HardState
+	entries []*api.Entry // contiguous
+}
+
+// replay applies the records of one payload.
+func (c *contents) replay(payload []byte) error {
+	for len(payload) > 0 {
+		t := recordType(payload[0])
+		if t == recordPadding {
+			return nil
+		}
+		length, n := binary.Uvarint(payload[1:])
+		if n <= 0 || uint64(len(payload)-1-n) < length {
+			return fmt.Errorf("record of type %d has a bad length", t)
+		}
+		content := payload[1+n : 1+n+int(length)]
+		payload = payload[1+n+int(length):]
+		if err := c.record(t, content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *contents) record(t recordType, content []byte) error {
+	switch t {
+	case recordEntry:
+		e := &api.Entry{}
+		if err := proto.Unmarshal(content, e); err != nil {
+			return err
+		}
+		return c.addEntry(e)
+	case recordHardState:
+		return c.setHardState(content)
+	case recordReset:
+		c.entries = nil
+		return nil
+	}
+	return fmt.Errorf("unknown record type %d", t)
+}
+
+// addEntry replaces what was stored from the entry's index on.
+func (c *contents) addEntry(e *api.Entry) error {
+	if len(c.entries) > 0 {
+		first := c.entries[0].Index
+		next := first + uint64(len(c.entries))
+		if e.Index > next {
+			return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
+		}
+		c.entries = c.entries[:max(e.Index, first)-first]
+	}
+	c.entries = append(c.entries, e)
+	return nil
+}
+
+func (c *contents) setHardState(content []byte) error {
+	var fields [3]uint64
+	for i := range fields {
+		v, n := binary.Uvarint(content)
+		if n <= 0 {
+			return fmt.Errorf("hard state has a bad length")
+		}
+		fields[i], content = v, content[n:]
+	}
+	c.hard = raft.HardState{Term: fields[0], VoteID: fields[1], Commit: fields[2], VoteDiskID: string(content)}
+	return nil
+}
--- /dev/null
+++ b/storage/fs.go
@@ -0,0 +1,117 @@
+// Package storage keeps the durable state of a control replica under one data
+// directory: the identity of the disk, and per group a write-ahead log in
+// segments and snapshots. Nothing counts as stored before it is synced.
+package storage
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// File is an open file that is written sequentially.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// FS is the set of file operations that the package uses. Tests replace it to
+// inject faults.
+type FS interface {
+	// Create opens a file for appending and creates it if it does not exist.
+	Create(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	// ReadDir returns the names in a directory, in lexical order.
+	ReadDir(name string) ([]string, error)
+	MkdirAll(name string) error
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes created, renamed and removed names of a directory durable.
+	SyncDir(name string) error
+}
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// ReadDir implements FS.
+func (OS) ReadDir(name string) ([]string, error) {
+	entries, err := os.ReadDir(name)
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(name string) error { return os.MkdirAll(name, 0o700) }
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(name string) error {
+	d, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	err = d.Sync()
+	if closeErr := d.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// replaceFile writes a file so that after a crash either the old or the new
+// content is there: write, sync, rename, sync of the directory.
+func replaceFile(fs FS, name string, content []byte) error {
+	dir := filepath.Dir(name)
+	temporary := name + temporarySuffix
+	if err := fs.Remove(temporary); err != nil && !os.IsNotExist(err) {
+		return &SyncError{Op: "remove", Path: temporary, Err: err}
+	}
+	if err := writeSynced(fs, temporary, content); err != nil {
+		return err
+	}
+	if err := fs.Rename(temporary, name); err != nil {
+		return &SyncError{Op: "rename", Path: name, Err: err}
+	}
+	if err := fs.SyncDir(dir); err != nil {
+		return &SyncError{Op: "sync", Path: dir, Err: err}
+	}
+	return nil
+}
+
+// temporarySuffix marks files that a crash may leave incomplete.
+const temporarySuffix = ".tmp"
+
+func writeSynced(fs FS, name string, content []byte) error {
+	f, err := fs.Create(name)
+	if err != nil {
+		return &SyncError{Op: "create", Path: name, Err: err}
+	}
+	if _, err = f.Write(content); err != nil {
+		_ = f.Close() // the write error is reported
+		return &SyncError{Op: "write", Path: name, Err: err}
+	}
+	if err = f.Sync(); err != nil {
+		_ = f.Close() // the sync error is reported
+		return &SyncError{Op: "sync", Path: name, Err: err}
+	}
+	if err = f.Close(); err != nil {
+		return &SyncError{Op: "close", Path: name, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/storage/identity.go
@@ -0,0 +1,112 @@
+package storage
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// Identity is the content of the identity file. The disk id is made once, when
+// the data directory is first used; a directory that was lost gets a new one.
+type Identity struct {
+	Replica uint64 `json:"replica"`
+	DiskID  string `json:"disk_id"`
+	// Founding holds the first replica set while and after this replica
+	// forms the group, as protobuf; empty on all other replicas.
+	Founding []byte `json:"founding,omitempty"`
+}
+
+const identityFile = "identity.json"
+
+// Directory is a locked data directory.
+type Directory struct {
+	FS       FS
+	Path     string
+	Identity Identity
+	lock     *os.File
+}
+
+// OpenDirectory locks a data directory and reads its identity. An unused
+// directory gets the identity of the replica and the disk id newDiskID.
+func OpenDirectory(fs FS, path string, replica uint64, newDiskID string) (*Directory, error) {
+	if err := fs.MkdirAll(path); err != nil {
+		return nil, &SyncError{Op: "create", Path: path, Err: err}
+	}
+	lock, err := lockDirectory(path)
+	if err != nil {
+		return nil, err
+	}
+	d := &Directory{FS: fs, Path: path, lock: lock}
+	if err := d.loadIdentity(replica, newDiskID); err != nil {
+		_ = lock.Close() // the first error is reported
+		return nil, err
+	}
+	return d, nil
+}
+
+func lockDirectory(path string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, &SyncError{Op: "create", Path: filepath.Join(path, "lock"), Err: err}
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = f.Close() // the lock error is reported
+		return nil, &LockedError{Path: path}
+	}
+	return f, nil
+}
+
+func (d *Directory) loadIdentity(replica uint64, newDiskID string) error {
+	name := filepath.Join(d.Path, identityFile)
+	content, err := d.FS.ReadFile(name)
+	if errors.Is(err, os.ErrNotExist) {
+		if err := d.refuseForeignState(); err != nil {
+			return err
+		}
+		return d.SaveIdentity(Identity{Replica: replica, DiskID: newDiskID})
+	}
+	if err != nil {
+		return &SyncError{Op: "read", Path: name, Err: err}
+	}
+	if err := json.Unmarshal(content, &d.Identity); err != nil || d.Identity.DiskID == "" {
+		return &CorruptError{Path: name, Reason: "the identity file does not decode"}
+	}
+	if d.Identity.Replica != replica {
+		return &IdentityError{Path: d.Path, Held: d.Identity.Replica, Want: replica}
+	}
+	return nil
+}
+
+// refuseForeignState guards against a directory with state but without its
+// identity: under a new disk id its log would count for nobody.
+func (d *Directory) refuseForeignState() error {
+	names, err := d.FS.ReadDir(d.Path)
+	if err != nil {
+		return &SyncError{Op: "read", Path: d.Path, Err: err}
+	}
+	for _, n := range names {
+		if n != "lock" && n != identityFile+temporarySuffix {
+			return &CorruptError{Path: filepath.Join(d.Path, identityFile), Reason: "missing beside " + n}
+		}
+	}
+	return nil
+}
+
+// SaveIdentity makes a new identity file durable.
+func (d *Directory) SaveIdentity(id Identity) error {
+	content, err := json.MarshalIndent(id, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := replaceFile(d.FS, filepath.Join(d.Path, identityFile), content); err != nil {
+		return err
+	}
+	d.Identity = id
+	return nil
+}
+
+// Close releases the lock.
+func (d *Directory) Close() error { return d.lock.Close() }
