control: replicated control process and its client

Cause: the replication core and the storage need a process around them, and daemons and operators a client. Change: one goroutine a group owns core, log and machine and batches what is queued into one sync; replication streams with bounded queues that drop; formation of a group by the configured peer with the lowest id after all others said they are empty; Publish, Claim, FinishClaim, ReleaseClaim, Status, ReplaceReplica; the configuration source for the feed; a client that finds leaders and resends.

--- /dev/null
+++ b/control/config.go
@@ -0,0 +1,126 @@
+// Package control runs the control process: it binds the replication core to
+// disk, network and time, one goroutine per group, and serves operators,
+// daemons and the other replicas over gRPC. Group 0 holds the configuration,
+// groups 1 to Config.ClaimShards hold the claims.
+package control
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/grpc"
+
+	"github.com/bilberrydeck/bilberrydeck/core/state"
+	"github.com/bilberrydeck/bilberrydeck/storage"
+)
+
+// Machine is a replicated state machine. Apply must give the same result for
+// the same sequence of commands on every replica.
+type Machine interface {
+	Apply(index uint64, command []byte) []byte
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Config holds the settings of a control process.
+type Config struct {
+	ReplicaID     uint64
+	ListenAddress string // IP address and port
+	// AdvertiseAddress is where other processes reach this one; empty means
+	// the listen address.
+	AdvertiseAddress string
+	// Peers holds the addresses of the first replica set by replica id, this
+	// replica included. It is not used once the group has state.
+	Peers map[uint64]string
+	// Join starts a replica that waits to be added by ReplaceReplica. A
+	// replica that lost its disk must start this way, under a new id.
+	Join          bool
+	DataDirectory string
+	ClaimShards   int // number of claim groups, the same on all replicas and for good
+
+	ServerTLS *tls.Config // nil permits loopback addresses only
+	ClientTLS *tls.Config // nil permits loopback addresses only
+
+	Logger            *log.Logger // nil discards all lines
+	Clock             func() time.Time
+	Seed              uint64
+	TickInterval      time.Duration // 0 means 50 ms
+	SnapshotThreshold uint64        // applied entries between snapshots; 0 means 10,000
+
+	Validate       state.Validator // checks a resulting set of declarations; nil accepts all
+	ClaimRetention time.Duration   // 0 means state.DefaultRetention
+
+	FS       storage.FS   // nil means the operating system's
+	Listener net.Listener // if set, ListenAddress is not used
+	// Machine makes the machine of a group; nil means the configuration and
+	// claims of core/state.
+	Machine func(group uint32) Machine
+	// Register adds further services to the gRPC server, such as the feed.
+	Register func(grpc.ServiceRegistrar)
+}
+
+// Defaults. A heartbeat round starts every other tick and the election timeout
+// is 10 to 20 ticks, so with 50 ms a lost leader is replaced within about 1 s
+// and a confirmation is well below the 2 s after which subscribers move.
+const (
+	defaultTick              = 50 * time.Millisecond
+	defaultSnapshotThreshold = 10_000
+	// trailingEntries are kept in memory before a snapshot, so that a replica
+	// that was away for a moment needs no snapshot.
+	trailingEntries = 2_000
+)
+
+func (c *Config) setDefaults() {
+	if c.Logger == nil {
+		c.Logger = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.TickInterval == 0 {
+		c.TickInterval = defaultTick
+	}
+	if c.SnapshotThreshold == 0 {
+		c.SnapshotThreshold = defaultSnapshotThreshold
+	}
+	if c.FS == nil {
+		c.FS = storage.OS{}
+	}
+	if c.Machine == nil {
+		c.Machine = c.stateMachine
+	}
+}
+
+func (c *Config) stateMachine(group uint32) Machine {
+	if group == 0 {
+		return state.NewConfiguration(c.Validate)
+	}
+	return state.NewClaims(c.ClaimRetention)
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.ReplicaID == 0:
+		return &ConfigError{"replica id must not be 0"}
+	case c.ClaimShards < 1:
+		return &ConfigError{"claim_shards must be at least 1"}
+	case c.DataDirectory == "":
+		return &ConfigError{"data directory is missing"}
+	case !c.Join && c.Peers[c.ReplicaID] == "":
+		return &ConfigError{"peers must include this replica"}
+	}
+	return nil
+}
+
+// requireLoopback enforces that a process without TLS is not reachable from
+// other VMs.
+func requireLoopback(address net.Addr) error {
+	tcp, ok := address.(*net.TCPAddr)
+	if !ok || !tcp.IP.IsLoopback() {
+		return &ConfigError{"without TLS only loopback addresses are permitted, not " + address.String()}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+func claim(key, claimant string) *api.ClaimRequest {
+	k := &api.ClaimKey{Service: "bookings", Route: "POST /", Key: key}
+	return &api.ClaimRequest{Key: k, Claimant: claimant, Fingerprint: []byte("f"), RemainingMs: 30_000}
+}
+
+// TestCommitAndRestart guards against losing accepted changes or granted
+// claims when all replicas restart.
+func TestCommitAndRestart(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.start(1, 2, 3)
+	cl := c.client()
+	for n := uint64(1); n <= 20; n++ {
+		c.publish(cl, n)
+	}
+	key := uuid.Must(uuid.NewV7()).String()
+	granted, err := cl.Claim(c.context(), claim(key, "a"))
+	require.NoError(t, err)
+	require.Equal(t, api.ClaimStatus_CLAIM_STATUS_GRANTED, granted.Status)
+	c.agree(20)
+
+	for id := uint64(1); id <= 3; id++ {
+		c.stop(id)
+	}
+	c.start(1, 2, 3)
+	c.publish(cl, 21)
+	c.agree(21)
+	again, err := cl.Claim(c.context(), claim(key, "b"))
+	require.NoError(t, err)
+	require.Equal(t, api.ClaimStatus_CLAIM_STATUS_IN_PROGRESS, again.Status)
+}
+
+// TestLeaderLost guards against a group that does not continue with a majority
+// after its leader is gone.
+func TestLeaderLost(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	cl := c.client()
+	c.publish(cl, 1)
+	c.stop(c.leader(0))
+	c.publish(cl, 2)
+	c.agree(2)
+}
--- /dev/null
+++ b/control/replace_test.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+// TestLostDiskAndSecondLoss guards against a repair that leaves the group
+// without a quorum when a second replica is lost right after it (F5), and
+// against a replacement that does not get all the state.
+func TestLostDiskAndSecondLoss(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.adjust = func(cfg *Config) { cfg.SnapshotThreshold = 20 }
+	c.start(1, 2, 3)
+	cl := c.client()
+	for n := uint64(1); n <= 50; n++ {
+		c.publish(cl, n)
+	}
+	c.stop(2)
+	require.NoError(t, os.RemoveAll(filepath.Join(c.dir, "2")))
+	c.replace(2, 4)
+	c.agree(50)
+	c.stop(c.leader(0))
+	c.publish(cl, 51)
+	c.agree(51)
+	st, err := cl.Status(c.context())
+	require.NoError(t, err)
+	for _, g := range st.Groups {
+		require.Len(t, g.Replicas, 3)
+	}
+}
+
+// replace starts a new replica and swaps it in for an old one.
+func (c *cluster) replace(oldID, newID uint64) {
+	s := c.startAt(newID, "127.0.0.1:0")
+	r := &api.ReplaceReplicaRequest{OldId: oldID, NewId: newID, NewAddress: s.Addr()}
+	_, err := c.client().ReplaceReplica(c.context(), r)
+	require.NoError(c.t, err)
+	_, err = c.client().ReplaceReplica(c.context(), r)
+	require.NoError(c.t, err, "a resent replacement")
+}
+
+// TestReplaceLeader guards against a replacement that fails when the replica
+// to be replaced leads and carries it out itself.
+func TestReplaceLeader(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	cl := c.client()
+	c.publish(cl, 1)
+	old := c.leader(0)
+	c.replace(old, 4)
+	c.stop(old)
+	c.publish(cl, 2)
+	c.agree(2)
+}
+
+// TestNoSecondGroup guards against a founder that lost its disk and forms a
+// second group while the others hold the state of the first.
+func TestNoSecondGroup(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	c.publish(c.client(), 1)
+	c.agree(1)
+	c.stop(1)
+	require.NoError(t, os.RemoveAll(filepath.Join(c.dir, "1")))
+	s, err := New(c.config(1, c.peers[1]))
+	require.NoError(t, err)
+	var refused *FoundingError
+	require.ErrorAs(t, s.Run(c.context()), &refused)
+}
+
+// TestEmptyReplicaDoesNotVote guards against a replica that lost its disk and
+// starts with its old settings: it must not help to elect a leader or to
+// commit, since it has forgotten what it had accepted.
+func TestEmptyReplicaDoesNotVote(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	c.publish(c.client(), 1)
+	c.agree(1)
+	c.stop(2)
+	c.stop(3)
+	require.NoError(t, os.RemoveAll(filepath.Join(c.dir, "3")))
+	c.start(3)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := c.client().Publish(ctx, change(2))
+	require.Error(t, err)
+	require.True(t, c.running[3].server.empty())
+	require.True(t, errors.Is(ctx.Err(), context.DeadlineExceeded))
+}
+
+// TestIsolatedAge guards against an isolated replica that reports a fresh
+// confirmation (F2): without the others its age only grows.
+func TestIsolatedAge(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	c.publish(c.client(), 1)
+	c.agree(1)
+	source := c.running[1].server.ConfigSource()
+	require.Eventually(t, func() bool { return source.ConfirmationAgeMs() >= 0 }, patience, time.Millisecond)
+	c.stop(2)
+	c.stop(3)
+	require.Eventually(t, func() bool { return source.ConfirmationAgeMs() > 2000 }, patience, time.Millisecond)
+}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/storage"
+)
+
+// maxMessageBytes limits a gRPC message between replicas. Snapshots are sent
+// as one message.
+const maxMessageBytes = 1 << 30
+
+// Server is a control process.
+type Server struct {
+	cfg       Config
+	self      *api.ReplicaRef
+	directory *storage.Directory
+	listener  net.Listener
+	grpc      *grpc.Server
+	groups    []*group
+	transport *transport
+	source    *ConfigSource
+	reports   reports
+	stopped   chan struct{} // closed when Run returns
+
+	api.UnimplementedControlServer
+	api.UnimplementedReplicaServer
+}
+
+// New locks and reads the data directory and opens the listener. Errors are
+// *ConfigError, *FoundingError and those of the package storage.
+func New(cfg Config) (*Server, error) {
+	cfg.setDefaults()
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, stopped: make(chan struct{})}
+	s.source = &ConfigSource{server: s, changed: make(chan struct{})}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	if err := s.open(); err != nil {
+		s.release()
+		return nil, err
+	}
+	s.transport = newTransport(&s.cfg)
+	s.serve()
+	return s, nil
+}
+
+func (s *Server) listen() error {
+	s.listener = s.cfg.Listener
+	if s.listener == nil {
+		l, err := net.Listen("tcp", s.cfg.ListenAddress)
+		if err != nil {
+			return &ConfigError{err.Error()}
+		}
+		s.listener = l
+	}
+	if s.cfg.ServerTLS == nil || s.cfg.ClientTLS == nil {
+		if err := requireLoopback(s.listener.Addr()); err != nil {
+			_ = s.listener.Close() // the first error is reported
+			return err
+		}
+		s.cfg.Logger.Warn().Str("address", s.Addr()).Msg("no TLS files are set; listening on loopback only")
+	}
+	return nil
+}
+
+// newDiskID returns 64 random bits in hexadecimal, enough to tell apart all
+// disks that an installation ever has.
+func newDiskID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, as documented
+	return hex.EncodeToString(b[:])
+}
+
+func (s *Server) open() error {
+	d, err := storage.OpenDirectory(s.cfg.FS, s.cfg.DataDirectory, s.cfg.ReplicaID, newDiskID())
+	if err != nil {
+		return err
+	}
+	s.directory = d
+	if err := s.fixClaimShards(); err != nil {
+		return err
+	}
+	address := s.cfg.AdvertiseAddress
+	if address == "" {
+		address = s.Addr()
+	}
+	s.self = &api.ReplicaRef{Id: s.cfg.ReplicaID, DiskId: d.Identity.DiskID, Address: address}
+	for id := range uint32(s.cfg.ClaimShards + 1) {
+		g, err := s.openGroup(id)
+		if err != nil {
+			return err
+		}
+		s.groups = append(s.groups, g)
+	}
+	return s.resumeFounding()
+}
+
+// fixClaimShards refuses a changed number of claim groups: a key would move to
+// another group, which does not know its claim, and its work could run twice.
+func (s *Server) fixClaimShards() error {
+	id := s.directory.Identity
+	if id.ClaimShards == s.cfg.ClaimShards {
+		return nil
+	}
+	if id.ClaimShards != 0 {
+		return &ConfigError{"claim_shards differs from the number that the data directory was made with"}
+	}
+	id.ClaimShards = s.cfg.ClaimShards
+	return s.directory.SaveIdentity(id)
+}
+
+func (s *Server) serve() {
+	transportCredentials := insecure.NewCredentials()
+	if s.cfg.ServerTLS != nil {
+		transportCredentials = credentials.NewTLS(s.cfg.ServerTLS)
+	}
+	s.grpc = grpc.NewServer(
+		grpc.Creds(transportCredentials),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
+	)
+	api.RegisterControlServer(s.grpc, s)
+	api.RegisterReplicaServer(s.grpc, s)
+	if s.cfg.Register != nil {
+		s.cfg.Register(s.grpc)
+	}
+}
+
+// Addr returns the address of the listener.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Run executes the process until the context ends or a disk fails. It is
+// called once.
+func (s *Server) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer s.release()
+	go func() {
+		if err := s.grpc.Serve(s.listener); err != nil {
+			cancel(err)
+		}
+	}()
+	if err := s.foundIfEmpty(ctx); err != nil {
+		s.shutdown()
+		return err
+	}
+	var loops sync.WaitGroup
+	for _, g := range s.groups {
+		loops.Go(func() {
+			if err := g.run(ctx); err != nil {
+				s.cfg.Logger.Error().Uint32("group", g.id).Err(err).Msg("group stopped; the process must end")
+				cancel(err)
+			}
+		})
+	}
+	<-ctx.Done()
+	s.shutdown()
+	loops.Wait()
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
+// shutdown ends all calls and connections.
+func (s *Server) shutdown() {
+	close(s.stopped)
+	s.grpc.Stop()
+	s.transport.close()
+}
+
+func (s *Server) release() {
+	_ = s.listener.Close() // already closed after Run
+	if s.directory != nil {
+		_ = s.directory.Close() // the process ends
+	}
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/protoadapt"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control/client"
+)
+
+// Publish proposes a change of the configuration.
+func (s *Server) Publish(ctx context.Context, change *api.Change) (*api.ChangeResult, error) {
+	cmd := &api.ConfigCommand{UnixMs: s.cfg.Clock().UnixMilli(), Change: change}
+	res := &api.ChangeResult{}
+	if err := s.execute(ctx, 0, cmd, res); err != nil {
+		return nil, err
+	}
+	s.cfg.Logger.Info().Str("set", change.Set).Uint64("number", change.Number).Str("change_id", change.ChangeId).
+		Str("author", change.Author).Str("status", res.Status.String()).Uint64("version", res.Version).Msg("change decided")
+	return res, nil
+}
+
+// Claim records that a claimant is about to run the work of a key.
+func (s *Server) Claim(ctx context.Context, r *api.ClaimRequest) (*api.ClaimResponse, error) {
+	res, err := s.executeClaim(ctx, r.GetKey(), &api.ClaimCommand{Operation: &api.ClaimCommand_Claim{Claim: r}})
+	return res.GetClaim(), err
+}
+
+// FinishClaim records the first answer of the work.
+func (s *Server) FinishClaim(ctx context.Context, r *api.FinishClaimRequest) (*api.FinishClaimResponse, error) {
+	res, err := s.executeClaim(ctx, r.GetKey(), &api.ClaimCommand{Operation: &api.ClaimCommand_Finish{Finish: r}})
+	return res.GetFinish(), err
+}
+
+// ReleaseClaim records that the work of a claim did not run.
+func (s *Server) ReleaseClaim(ctx context.Context, r *api.ReleaseClaimRequest) (*api.ReleaseClaimResponse, error) {
+	res, err := s.executeClaim(ctx, r.GetKey(), &api.ClaimCommand{Operation: &api.ClaimCommand_Release{Release: r}})
+	return res.GetRelease(), err
+}
+
+func (s *Server) executeClaim(ctx context.Context, key *api.ClaimKey, cmd *api.ClaimCommand) (*api.ClaimCommandResult, error) {
+	if key == nil {
+		return nil, status.Error(codes.InvalidArgument, "the claim key is missing")
+	}
+	cmd.UnixMs = s.cfg.Clock().UnixMilli()
+	res := &api.ClaimCommandResult{}
+	if err := s.execute(ctx, client.ShardOf(key, s.cfg.ClaimShards), cmd, res); err != nil {
+		return nil, err
+	}
+	return res, nil
+}
+
+// execute replicates a command and decodes its result.
+func (s *Server) execute(ctx context.Context, group uint32, cmd, res proto.Message) error {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	answer, err := s.groups[group].submit(ctx, data)
+	if err != nil {
+		return s.grpcError(group, err)
+	}
+	if err := proto.Unmarshal(answer, res); err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	return nil
+}
+
+// Status describes this replica as it sees itself.
+func (s *Server) Status(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
+	res := &api.StatusResponse{Replica: s.cfg.ReplicaID, Version: s.source.Version(), Daemons: s.reports.list(s.cfg.Clock())}
+	for _, g := range s.groups {
+		res.Groups = append(res.Groups, g.status())
+	}
+	return res, nil
+}
+
+func (g *group) status() *api.GroupStatus {
+	st := g.view.Load().status
+	out := &api.GroupStatus{
+		Group: g.id, Term: st.Term, Leader: st.Leader.GetId(), CommitIndex: st.Commit, AppliedIndex: st.Applied,
+		FirstIndex: st.First, ConfirmationAgeMs: g.ageMillis(),
+	}
+	add := func(list []*api.ReplicaRef, voter bool) {
+		for _, r := range list {
+			out.Replicas = append(out.Replicas, &api.ReplicaStatus{
+				Id: r.Id, DiskId: r.DiskId, Address: r.Address, Voter: voter, MatchIndex: st.Match[r.Id],
+			})
+		}
+	}
+	add(st.Set.GetVoters(), true)
+	for _, r := range st.Set.GetOldVoters() {
+		if !inList(st.Set.Voters, r.Id) {
+			add([]*api.ReplicaRef{r}, true)
+		}
+	}
+	add(st.Set.GetLearners(), false)
+	return out
+}
+
+func withDetail(code codes.Code, err error, detail protoadapt.MessageV1) error {
+	plain := status.New(code, err.Error())
+	if detailed, detailErr := plain.WithDetails(detail); detailErr == nil {
+		return detailed.Err()
+	}
+	return plain.Err() // a detail that does not encode must not hide the status
+}
--- /dev/null
+++ b/control/transport.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+// outboxLimit bounds the messages that wait for one peer. Messages above it
+// are dropped: the core sends again what is still needed, and a blocked group
+// loop would stop the whole group.
+const outboxLimit = 4096
+
+// idlePeer is the time without messages after which a connection is closed, as
+// after the replacement of a replica.
+const idlePeer = time.Minute
+
+// transport sends replication messages, one stream per peer address.
+type transport struct {
+	cfg *Config
+	ctx context.Context
+	end context.CancelFunc
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	loops sync.WaitGroup
+
+	dropped atomic.Uint64
+}
+
+type peer struct {
+	address string
+	outbox  chan *api.ReplicaEnvelope
+}
+
+func newTransport(cfg *Config) *transport {
+	ctx, end := context.WithCancel(context.Background())
+	return &transport{cfg: cfg, ctx: ctx, end: end, peers: map[string]*peer{}}
+}
+
+// send queues messages to their peers and never blocks.
+func (t *transport) send(group uint32, messages []*api.ReplicaMessage) {
+	for _, m := range messages {
+		if m.To.GetAddress() == "" {
+			t.dropped.Add(1)
+			continue
+		}
+		select {
+		case t.peer(m.To.Address).outbox <- &api.ReplicaEnvelope{Group: group, Message: m}:
+		default:
+			t.dropped.Add(1)
+		}
+	}
+}
+
+func (t *transport) peer(address string) *peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[address]
+	if p == nil {
+		p = &peer{address: address, outbox: make(chan *api.ReplicaEnvelope, outboxLimit)}
+		t.peers[address] = p
+		if t.ctx.Err() == nil {
+			t.loops.Go(func() { t.run(p) })
+		}
+	}
+	return p
+}
+
+// run keeps a stream to one peer until the transport closes or the peer is
+// idle.
+func (t *transport) run(p *peer) {
+	conn, err := dial(p.address, t.cfg.ClientTLS)
+	if err != nil {
+		t.cfg.Logger.Error().Str("peer", p.address).Err(err).Msg("peer address cannot be used")
+		t.forget(p)
+		return
+	}
+	defer func() { _ = conn.Close() }() // nothing is left to send
+	for t.ctx.Err() == nil {
+		err := t.stream(api.NewReplicaClient(conn), p)
+		if err == nil {
+			t.forget(p)
+			return
+		}
+		t.cfg.Logger.Warn().Str("peer", p.address).Err(err).Msg("replication stream ended; connecting again")
+		select {
+		case <-t.ctx.Done():
+		case <-time.After(reconnectDelay):
+		}
+	}
+}
+
+// reconnectDelay is short compared with the election timeout, so that a
+// restarted peer is heard before it starts an election.
+const reconnectDelay = 200 * time.Millisecond
+
+func (t *transport) forget(p *peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers[p.address] == p {
+		delete(t.peers, p.address)
+	}
+}
+
+// stream sends messages until the stream breaks. It returns nil when the peer
+// has been idle.
+func (t *transport) stream(client api.ReplicaClient, p *peer) error {
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	stream, err := client.Deliver(ctx, grpc.WaitForReady(true))
+	if err != nil {
+		return err
+	}
+	idle := time.NewTimer(idlePeer)
+	defer idle.Stop()
+	for {
+		select {
+		case e := <-p.outbox:
+			idle.Reset(idlePeer)
+			if err := stream.Send(e); err != nil {
+				_, err = stream.CloseAndRecv() // holds the reason
+				return err
+			}
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-idle.C:
+			return nil
+		}
+	}
+}
+
+func (t *transport) close() {
+	t.end()
+	t.loops.Wait()
+}
+
+// dial opens a connection to another control process. Keepalive probes find a
+// silent partition, after which TCP would retransmit for minutes.
+func dial(address string, tlsConfig *tls.Config) (*grpc.ClientConn, error) {
+	transportCredentials := insecure.NewCredentials()
+	if tlsConfig != nil {
+		transportCredentials = credentials.NewTLS(tlsConfig)
+	}
+	return grpc.NewClient(address,
+		grpc.WithTransportCredentials(transportCredentials),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second, PermitWithoutStream: true}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: time.Second,
+		}),
+	)
+}
+
+// Deliver takes the replication messages of one peer.
+func (s *Server) Deliver(stream grpc.ClientStreamingServer[api.ReplicaEnvelope, api.DeliverSummary]) error {
+	received := uint64(0)
+	for {
+		e, err := stream.Recv()
+		if err != nil {
+			return stream.SendAndClose(&api.DeliverSummary{Received: received})
+		}
+		received++
+		if e.Message == nil || int(e.Group) >= len(s.groups) {
+			continue
+		}
+		select {
+		case s.groups[e.Group].inbox <- e.Message:
+		default:
+			s.transport.dropped.Add(1)
+		}
+	}
+}
--- a/storage/identity.go
+++ b/storage/identity.go
@@ -14,6 +14,8 @@
 type Identity struct {
 	Replica uint64 `json:"replica"`
 	DiskID  string `json:"disk_id"`
+	// ClaimShards is the number of claim groups, fixed at the first start.
+	ClaimShards int `json:"claim_shards"`
 	// Founding holds the first replica set while and after this replica
 	// forms the group, as protobuf; empty on all other replicas.
 	Founding []byte `json:"founding,omitempty"`
