--- /dev/null
+++ b/core/feed/choose.go
@@ -0,0 +1,87 @@
+package feed
+
+import "time"
+
+// Chosen is the source that is followed now, empty if none.
+func (s *Subscriber) Chosen() string { return s.chosen }
+
+func (src *source) fresh(now time.Time) bool {
+	return src.connected && src.heardAny && src.freshKnown && now.Sub(src.freshAt) <= StaleAfter
+}
+
+func (src *source) updateFresh(now time.Time) {
+	switch {
+	case !src.fresh(now):
+		src.freshFrom = time.Time{}
+	case src.freshFrom.IsZero():
+		src.freshFrom = now
+	}
+}
+
+// Choose decides which source to follow. changed is false if it stays the
+// same. held is the newest version received by this process.
+func (s *Subscriber) Choose(now time.Time, held uint64) (choice Choice, changed bool) {
+	for _, src := range s.sources {
+		src.updateFresh(now)
+	}
+	to, reason := s.pick(now, held)
+	if to == s.chosen {
+		return Choice{}, false
+	}
+	choice = Choice{From: s.chosen, To: to, Reason: reason}
+	s.chosen = to
+	return choice, true
+}
+
+func (s *Subscriber) pick(now time.Time, held uint64) (string, ChoiceReason) {
+	current := s.sources[s.chosen]
+	if current != nil && current.fresh(now) {
+		for _, name := range s.cfg.Sources {
+			if name == s.chosen {
+				break
+			}
+			src := s.sources[name]
+			if src.fresh(now) && now.Sub(src.freshFrom) >= ReturnAfter {
+				return name, ChoicePreferred
+			}
+		}
+		return s.chosen, ""
+	}
+	reason := ChoiceFirst
+	switch {
+	case current != nil && current.connected:
+		reason = ChoiceStale
+	case current != nil:
+		reason = ChoiceLost
+	}
+	for _, name := range s.cfg.Sources {
+		if s.sources[name].fresh(now) {
+			return name, reason
+		}
+	}
+	return s.pickStale(held, current, reason)
+}
+
+// pickStale chooses when no source is fresh: a connected one that holds a
+// higher version than we do, otherwise the current one, otherwise the first
+// that is connected.
+func (s *Subscriber) pickStale(held uint64, current *source, reason ChoiceReason) (string, ChoiceReason) {
+	best, highest := "", held
+	if current != nil && current.connected {
+		best = s.chosen
+		highest = max(held, current.version)
+	}
+	for _, name := range s.cfg.Sources {
+		src := s.sources[name]
+		if !src.connected {
+			continue
+		}
+		if best == "" {
+			best = name
+		}
+		if src.version > highest {
+			best, highest, reason = name, src.version, ChoiceNewer
+		}
+	}
+	return best, reason
+}
--- /dev/null
+++ b/core/feed/merge.go
@@ -0,0 +1,251 @@
+package feed
+
+import "time"
+
+// retained is the listing that holds the members known before a source with an
+// incomplete table took over.
+const retained = "\x00retained"
+
+// Merge combines the tables that several sources list for one availability
+// zone: a member is present while any of them lists it, with its newest
+// announcement.
+type Merge struct {
+	Table    *Table
+	listings map[string]*listing
+	last     map[string]tombstone // newest announcement of members that left
+}
+
+type listing struct {
+	members    map[string]*Member
+	incomplete bool
+	held       Held
+}
+
+// NewMerge returns an empty merge whose result has the given epoch.
+func NewMerge(epoch uint64) *Merge {
+	return &Merge{Table: NewTable(epoch), listings: map[string]*listing{}, last: map[string]tombstone{}}
+}
+
+// MergeChange is one change of the combined table.
+type MergeChange struct {
+	ID       string
+	From, To *Member // nil if absent before or after
+}
+
+// Known reports whether any source has delivered a table.
+func (m *Merge) Known() bool { return len(m.listings) > 0 }
+
+// Lists reports whether source has delivered a table.
+func (m *Merge) Lists(source string) bool { return m.listings[source] != nil }
+
+// Complete reports whether a source with a complete table is known.
+func (m *Merge) Complete() bool {
+	for _, l := range m.listings {
+		if !l.incomplete {
+			return true
+		}
+	}
+	return false
+}
+
+// Apply records a delta that source sent. With alone set, source replaces all
+// other sources as soon as its table is complete; otherwise they are combined.
+// It returns false when the delta doesn't follow what the source sent before:
+// the subscription is then to be made anew.
+func (m *Merge) Apply(now time.Time, source string, d TableDelta, incomplete, alone bool) ([]MergeChange, bool) {
+	l := m.listings[source]
+	follows := d.Full || d.Same || (l != nil && l.held.Epoch == d.Epoch)
+	if !follows {
+		return nil, false
+	}
+	touched := map[string]bool{}
+	if incomplete && (d.Full || l == nil) {
+		m.retain()
+	}
+	if d.Full || d.Same || l == nil {
+		l = m.replaceListing(source, d, touched)
+	}
+	for _, member := range d.Changed {
+		l.members[member.ID] = member
+		touched[member.ID] = true
+	}
+	for _, id := range d.Removed {
+		delete(l.members, id)
+		if kept := m.listings[retained]; kept != nil {
+			delete(kept.members, id)
+		}
+		touched[id] = true
+	}
+	l.incomplete = incomplete
+	l.held = Held{Epoch: d.Epoch, Revision: d.Revision}
+	if !incomplete {
+		m.dropOthers(source, alone, touched)
+	}
+	return m.recompute(now, touched), true
+}
+
+// retain keeps the present members while only incomplete tables are known.
+func (m *Merge) retain() {
+	if m.listings[retained] != nil || len(m.Table.entries) == 0 {
+		return
+	}
+	kept := &listing{members: make(map[string]*Member, len(m.Table.entries)), incomplete: true}
+	for id, member := range m.Table.entries {
+		kept.members[id] = member
+	}
+	m.listings[retained] = kept
+}
+
+// replaceListing starts the table of source anew: empty for a full copy, equal
+// to the combined table if the source found no difference.
+func (m *Merge) replaceListing(source string, d TableDelta, touched map[string]bool) *listing {
+	l := &listing{members: map[string]*Member{}}
+	if old := m.listings[source]; old != nil {
+		for id := range old.members {
+			touched[id] = true
+		}
+	}
+	if d.Same {
+		for id, member := range m.Table.entries {
+			l.members[id] = member
+		}
+	}
+	m.listings[source] = l
+	return l
+}
+
+// dropOthers removes the listings that a complete table of source replaces.
+func (m *Merge) dropOthers(source string, alone bool, touched map[string]bool) {
+	for name, other := range m.listings {
+		if name == source || (name != retained && !alone) {
+			continue
+		}
+		for id := range other.members {
+			touched[id] = true
+		}
+		delete(m.listings, name)
+	}
+}
+
+// Set records one member listed by source, for a relay's own leases; nil
+// removes it. An announcement of StateGone removes the member from all
+// listings that hold an older announcement.
+func (m *Merge) Set(now time.Time, source, id string, member *Member) []MergeChange {
+	l := m.listings[source]
+	if l == nil {
+		l = &listing{members: map[string]*Member{}}
+		m.listings[source] = l
+	}
+	if member == nil {
+		delete(l.members, id)
+	} else {
+		l.members[id] = member
+	}
+	return m.recompute(now, map[string]bool{id: true})
+}
+
+// SetIncomplete marks the listing of source.
+func (m *Merge) SetIncomplete(now time.Time, source string, incomplete bool) []MergeChange {
+	l := m.listings[source]
+	if l == nil {
+		l = &listing{members: map[string]*Member{}}
+		m.listings[source] = l
+	}
+	l.incomplete = incomplete
+	touched := map[string]bool{}
+	if !incomplete {
+		m.dropOthers(source, false, touched)
+	}
+	return m.recompute(now, touched)
+}
+
+// Drop forgets what source listed. The last listing is kept: a process that is
+// cut off keeps the table it knew.
+func (m *Merge) Drop(now time.Time, source string) []MergeChange {
+	l := m.listings[source]
+	if l == nil || len(m.listings) == 1 {
+		return nil
+	}
+	touched := map[string]bool{}
+	for id := range l.members {
+		touched[id] = true
+	}
+	delete(m.listings, source)
+	if kept := m.listings[retained]; kept != nil && m.allComplete() {
+		for id := range kept.members {
+			touched[id] = true
+		}
+		delete(m.listings, retained)
+	}
+	return m.recompute(now, touched)
+}
+
+// allComplete reports whether each source that lists members is complete.
+func (m *Merge) allComplete() bool {
+	for name, l := range m.listings {
+		if name != retained && l.incomplete {
+			return false
+		}
+	}
+	return len(m.listings) > 1
+}
+
+// newest returns the newest announcement of id among the listings.
+func (m *Merge) newest(id string) *Member {
+	var best *Member
+	for _, l := range m.listings {
+		if c := l.members[id]; c != nil && (best == nil || c.newerThan(best.Boot, best.Sequence)) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (m *Merge) recompute(now time.Time, touched map[string]bool) []MergeChange {
+	var changes []MergeChange
+	for id := range touched {
+		from, to := m.Table.entries[id], m.newest(id)
+		if t, ok := m.last[id]; ok && to != nil && now.Before(t.until) && older(to, t) {
+			to = nil
+		}
+		if to != nil && to.State == StateGone {
+			m.last[id] = tombstone{to.Boot, to.Sequence, now.Add(tombstoneTime)}
+			to = nil
+		}
+		if from != nil && to != nil && from.newerThan(to.Boot, to.Sequence) {
+			to = nil // another relay still lists an older announcement
+		}
+		if from == to || (from != nil && to != nil && from.same(to)) {
+			continue
+		}
+		if to == nil {
+			m.remember(now, from)
+		}
+		m.Table.Set(id, to)
+		changes = append(changes, MergeChange{ID: id, From: from, To: to})
+	}
+	return changes
+}
+
+func older(m *Member, t tombstone) bool {
+	return m.Boot < t.boot || (m.Boot == t.boot && m.Sequence < t.sequence)
+}
+
+// remember keeps the last announcement of a member that leaves. The same
+// announcement may return (its lease was renewed late), an older one may not.
+func (m *Merge) remember(now time.Time, member *Member) {
+	t := m.last[member.ID]
+	if older(member, t) && now.Before(t.until) {
+		return
+	}
+	m.last[member.ID] = tombstone{member.Boot, member.Sequence, now.Add(tombstoneTime)}
+}
+
+// Tick forgets the announcements of members that left long ago.
+func (m *Merge) Tick(now time.Time) {
+	for id, t := range m.last {
+		if now.After(t.until) {
+			delete(m.last, id)
+		}
+	}
+}
