relay: feed server and feed client over gRPC

Control, relay and daemon parts each run one loop that owns the feed state; stream goroutines only move messages. A change accepted by a control stand-in comes into force at daemons behind three relays, members reach each other, and control learns the version of each daemon (test over loopback, raced).

--- a/core/feed/merge.go
+++ b/core/feed/merge.go
@@ -36,7 +36,18 @@
 func (m *Merge) Known() bool { return len(m.listings) > 0 }
 
 // Lists reports whether source has delivered a table.
-func (m *Merge) Lists(source string) bool { return m.listings[source] != nil }
+func (m *Merge) Lists(source string) bool { return m != nil && m.listings[source] != nil }
+
+// HeldFrom describes what is held, to the source that is asked to continue:
+// its own last revision if it has delivered a table, and the digest of the
+// combined table, by which another source may find that nothing is missing.
+func (m *Merge) HeldFrom(source string) Held {
+	h := m.Table.Held()
+	if l := m.listings[source]; l != nil {
+		h.Epoch, h.Revision = l.held.Epoch, l.held.Revision
+	}
+	return h
+}
 
 // Complete reports whether a source with a complete table is known.
 func (m *Merge) Complete() bool {
--- /dev/null
+++ b/relay/convert.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/feed"
+)
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
+
+// millisUp rounds up, so that a bound stays a bound.
+func millisUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
+func duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func memberOf(now time.Time, a *api.Announcement) *feed.Member {
+	m := &feed.Member{
+		ID:               a.GetId(),
+		Boot:             a.GetBoot(),
+		Sequence:         a.GetSequence(),
+		Service:          a.GetService(),
+		Region:           a.GetRegion(),
+		AvailabilityZone: a.GetAvailabilityZone(),
+		Address:          a.GetPeerAddress(),
+		State:            feed.State(a.GetState()),
+		Slots:            a.GetSlots(),
+	}
+	if a.GetUpMs() > 0 {
+		m.UpSince = now.Add(-duration(a.GetUpMs()))
+	}
+	return m
+}
+
+func announcementOf(now time.Time, m *feed.Member) *api.Announcement {
+	a := &api.Announcement{
+		Id:               m.ID,
+		Boot:             m.Boot,
+		Sequence:         m.Sequence,
+		Service:          m.Service,
+		Region:           m.Region,
+		AvailabilityZone: m.AvailabilityZone,
+		PeerAddress:      m.Address,
+		State:            api.UpstreamState(m.State),
+		Slots:            m.Slots,
+	}
+	if !m.UpSince.IsZero() {
+		a.UpMs = max(millis(now.Sub(m.UpSince)), 1)
+	}
+	return a
+}
+
+func tableDeltaOf(now time.Time, d *api.MemberDelta) feed.TableDelta {
+	t := feed.TableDelta{
+		Epoch:    d.GetEpoch(),
+		Revision: d.GetRevision(),
+		Full:     d.GetFull(),
+		Same:     d.GetSame(),
+		Removed:  d.GetRemoved(),
+	}
+	for _, a := range d.GetChanged() {
+		t.Changed = append(t.Changed, memberOf(now, a))
+	}
+	return t
+}
+
+func memberDeltaOf(now time.Time, az string, d feed.TableDelta, incomplete bool) *api.MemberDelta {
+	m := &api.MemberDelta{
+		AvailabilityZone: az,
+		Epoch:            d.Epoch,
+		Revision:         d.Revision,
+		Full:             d.Full,
+		Same:             d.Same,
+		Removed:          d.Removed,
+		Incomplete:       incomplete,
+	}
+	for _, member := range d.Changed {
+		m.Changed = append(m.Changed, announcementOf(now, member))
+	}
+	return m
+}
+
+func deltaOf(c *api.ConfigDelta) feed.Delta {
+	d := feed.Delta{From: c.GetFromVersion(), To: c.GetToVersion(), Removed: c.GetRemovedServices()}
+	for _, doc := range c.GetServices() {
+		d.Changed = append(d.Changed, feed.Document{Service: doc.GetService(), JSON: doc.GetJson()})
+	}
+	return d
+}
+
+func configDeltaOf(d feed.Delta) *api.ConfigDelta {
+	c := &api.ConfigDelta{FromVersion: d.From, ToVersion: d.To, RemovedServices: d.Removed}
+	for _, doc := range d.Changed {
+		c.Services = append(c.Services, &api.ServiceDocument{Service: doc.Service, Json: doc.JSON})
+	}
+	return c
+}
+
+func reportOf(u *api.SyncUpdate) feed.Report {
+	r := feed.Report{
+		Echo:             u.GetEcho(),
+		Started:          u.GetSourceStarted(),
+		Version:          u.GetSourceVersion(),
+		ConfirmedVersion: u.GetConfirmedVersion(),
+	}
+	if u.GetConfirmationAgeMs() >= 0 && u.GetConfirmationBoundMs() >= 0 {
+		r.Confirmed = true
+		r.Age = duration(u.GetConfirmationAgeMs())
+		r.Bound = duration(u.GetConfirmationBoundMs())
+	}
+	return r
+}
--- /dev/null
+++ b/relay/helpers_test.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/feed"
+)
+
+// waitTime bounds how long a test waits for an outcome. It is far above what
+// is needed, so that a busy machine changes no verdict.
+const waitTime = 60 * time.Second
+
+// fakeSource stands in for the configuration of a control replica.
+type fakeSource struct {
+	mu        sync.Mutex
+	store     feed.Store
+	changed   chan struct{}
+	confirmed bool
+}
+
+func newFakeSource() *fakeSource {
+	return &fakeSource{changed: make(chan struct{}), confirmed: true}
+}
+
+func (f *fakeSource) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Version()
+}
+
+func (f *fakeSource) Since(version uint64) *api.ConfigDelta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return configDeltaOf(f.store.Since(version, nil))
+}
+
+func (f *fakeSource) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakeSource) Confirmation() (uint64, time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Version(), 10 * time.Millisecond, f.confirmed
+}
+
+// accept applies a change of documents and returns its version.
+func (f *fakeSource) accept(tb testing.TB, documents map[string]string, removed ...string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version := f.store.Version()
+	d := feed.Delta{From: version, To: version + 1, Removed: removed}
+	for name, json := range documents {
+		d.Changed = append(d.Changed, feed.Document{Service: name, JSON: []byte(json)})
+	}
+	require.NoError(tb, f.store.Apply(d))
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return d.To
+}
+
+// process is a part of the system that a test can stop.
+type process struct {
+	stop func()
+}
+
+// serve runs a feed server at address, or at a free port if it is empty.
+func serve(tb testing.TB, address string, server api.FeedServer, run func(context.Context)) (string, *process) {
+	tb.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	var listener net.Listener
+	require.Eventually(tb, func() (ok bool) {
+		var err error
+		listener, err = net.Listen("tcp", address)
+		return err == nil
+	}, waitTime, 10*time.Millisecond)
+	g := grpc.NewServer(ServerOptions()...)
+	api.RegisterFeedServer(g, server)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { run(ctx) })
+	wg.Go(func() { _ = g.Serve(listener) })
+	p := &process{stop: sync.OnceFunc(func() {
+		cancel()
+		g.Stop()
+		wg.Wait()
+	})}
+	tb.Cleanup(p.stop)
+	return listener.Addr().String(), p
+}
+
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(tb, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// az is one availability zone under test.
+type az struct {
+	name      string
+	endpoints []Endpoint
+	relays    []*process
+	sources   []Endpoint
+	remote    map[string][]Endpoint
+}
+
+// newAZ reserves addresses for n relays.
+func newAZ(tb testing.TB, name string, n int, sources ...Endpoint) *az {
+	a := &az{name: name, sources: sources, relays: make([]*process, n)}
+	for i := range n {
+		a.endpoints = append(a.endpoints, Endpoint{Name: fmt.Sprintf("%s-relay-%d", name, i), Address: freeAddress(tb)})
+	}
+	return a
+}
+
+func (a *az) startRelay(tb testing.TB, i int) {
+	tb.Helper()
+	r, err := NewRelay(RelayConfig{
+		Name: a.endpoints[i].Name, AvailabilityZone: a.name, Region: "south",
+		Sources: a.sources, Relays: a.endpoints, Remote: a.remote,
+	})
+	require.NoError(tb, err)
+	_, a.relays[i] = serve(tb, a.endpoints[i].Address, r, r.Run)
+}
+
+func (a *az) startRelays(tb testing.TB) {
+	for i := range a.endpoints {
+		a.startRelay(tb, i)
+	}
+}
+
+// testDaemon is a feed client with its last view.
+type testDaemon struct {
+	*Daemon
+	process
+	mu     sync.Mutex
+	last   *View
+	lowest error // set when a version in force decreased
+}
+
+func (a *az) startDaemon(tb testing.TB, id, service string, services ...string) *testDaemon {
+	tb.Helper()
+	t := &testDaemon{last: &View{}}
+	d, err := NewDaemon(DaemonConfig{ID: id, AvailabilityZone: a.name, Region: "south", Relays: a.endpoints,
+		Services: services, OnView: t.onView})
+	require.NoError(tb, err)
+	t.Daemon = d
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+	t.stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	tb.Cleanup(t.stop)
+	if service != "" {
+		d.Announce(Announcement{Service: service, Address: id + ":1", State: feed.StateServing, Slots: 10, UpSince: time.Now()})
+	}
+	return t
+}
+
+func (t *testDaemon) onView(v *View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v.Version < t.last.Version {
+		t.lowest = fmt.Errorf("version in force went from %d to %d", t.last.Version, v.Version)
+	}
+	t.last = v
+}
+
+func (t *testDaemon) view() *View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last
+}
+
+func (t *testDaemon) waitFor(tb testing.TB, what string, ok func(*View) bool) *View {
+	tb.Helper()
+	require.Eventually(tb, func() bool { return ok(t.view()) }, waitTime, 5*time.Millisecond, "%s: %s", t.cfg.ID, what)
+	require.NoError(tb, t.lowest)
+	return t.view()
+}
+
+func (t *testDaemon) waitVersion(tb testing.TB, version uint64) {
+	tb.Helper()
+	t.waitFor(tb, fmt.Sprintf("version %d in force", version), func(v *View) bool { return v.Confirmed && v.Version >= version })
+}
+
+func members(v *View, service string) map[string]*feed.Member {
+	found := map[string]*feed.Member{}
+	for _, m := range v.Members[service] {
+		found[m.ID] = m
+	}
+	return found
+}
+
+func startControl(tb testing.TB, name string, source Source) (Endpoint, *ControlServer) {
+	c := NewControlServer(ControlConfig{Name: name, Source: source})
+	address, _ := serve(tb, "", c, c.Run)
+	return Endpoint{Name: name, Address: address}, c
+}
