--- /dev/null
+++ b/core/feed/store_test.go
@@ -0,0 +1,116 @@
+package feed
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func doc(service, json string) Document { return Document{Service: service, JSON: []byte(json)} }
+
+// TestStoreRefusesLowerAndGaps guards against an older or incomplete delta
+// overwriting a newer state.
+func TestStoreRefusesLowerAndGaps(t *testing.T) {
+	var s Store
+	require.NoError(t, s.Apply(Delta{To: 5, Changed: []Document{doc("a", "5")}}))
+	var refused *VersionError
+	require.ErrorAs(t, s.Apply(Delta{To: 4}), &refused)
+	require.ErrorAs(t, s.Apply(Delta{From: 6, To: 7}), &refused)
+	require.ErrorAs(t, s.Apply(Delta{From: 3, To: 4}), &refused)
+	require.Equal(t, uint64(5), s.Version())
+	require.NoError(t, s.Apply(Delta{From: 5, To: 6, Removed: []string{"a"}}))
+	require.Equal(t, Delta{From: 5, To: 6, Removed: []string{"a"}}, s.Since(5, nil))
+}
+
+// TestStoreCompaction guards against a delta that lacks a removal which the
+// store has forgotten: such a holder must get a full copy.
+func TestStoreCompaction(t *testing.T) {
+	var s Store
+	require.NoError(t, s.Apply(Delta{To: 1, Changed: []Document{doc("kept", "1")}}))
+	for i := range uint64(2 * (maxTombstones + 1)) {
+		v := s.Version()
+		name := fmt.Sprintf("s%d", i/2)
+		d := Delta{From: v, To: v + 1, Changed: []Document{doc(name, "x")}}
+		if i%2 == 1 {
+			d.Changed, d.Removed = nil, []string{name}
+		}
+		require.NoError(t, s.Apply(d))
+	}
+	require.LessOrEqual(t, len(s.tombstones), maxTombstones)
+	require.Zero(t, s.Since(2, nil).From, "an old holder gets a full copy")
+	require.Len(t, s.Since(2, nil).Changed, 1)
+	require.NotZero(t, s.Since(s.Version()-2, nil).From)
+}
+
+// TestDeltasLeadToTheSameDocuments guards against a follower that differs from
+// its source after any series of changes, skipped versions, filters, promotions
+// and joined deltas.
+func TestDeltasLeadToTheSameDocuments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}
+		var source, relay Store
+		var daemon Staged
+		filter := map[string]bool{"a": true, "b": true}
+		require.NoError(t, source.Apply(Delta{To: 1}))
+		steps := rapid.SliceOfN(rapid.IntRange(0, 63), 1, 200).Draw(t, "steps")
+		for _, n := range steps {
+			v := source.Version()
+			name := names[n%4]
+			switch (n / 4) % 5 {
+			case 0, 1:
+				require.NoError(t, source.Apply(Delta{From: v, To: v + 1, Changed: []Document{doc(name, fmt.Sprint(v))}}))
+			case 2:
+				require.NoError(t, source.Apply(Delta{From: v, To: v + 1, Removed: []string{name}}))
+			case 3:
+				require.NoError(t, relay.Apply(source.Since(relay.Version(), nil)))
+			case 4:
+				require.NoError(t, daemon.Add(relay.Since(daemon.Held(), filter)))
+				versions := daemon.Versions()
+				daemon.Promote(versions[n%len(versions)])
+			}
+		}
+		require.NoError(t, relay.Apply(source.Since(relay.Version(), nil)))
+		require.Equal(t, keys(source.Since(0, nil)), keys(relay.Since(0, nil)))
+		require.NoError(t, daemon.Add(relay.Since(daemon.Held(), filter)))
+		daemon.Promote(daemon.Held())
+		_, documents, _ := daemon.InForce()
+		want := keys(source.Since(0, filter))
+		require.Equal(t, want, toStrings(documents))
+	})
+}
+
+// TestStagedJoinsDeltas guards against unbounded or wrong staging while no
+// majority holds the new versions.
+func TestStagedJoinsDeltas(t *testing.T) {
+	var s Staged
+	require.NoError(t, s.Add(Delta{To: 1, Changed: []Document{doc("a", "1"), doc("b", "1")}}))
+	s.Promote(1)
+	for v := uint64(1); v < 5*maxStaged; v++ {
+		require.NoError(t, s.Add(Delta{From: v, To: v + 1, Changed: []Document{doc("a", fmt.Sprint(v+1))}, Removed: []string{"b"}}))
+	}
+	require.LessOrEqual(t, len(s.pending), maxStaged)
+	s.Promote(s.Held())
+	version, documents, ok := s.InForce()
+	require.True(t, ok)
+	require.Equal(t, map[string]string{"a": fmt.Sprint(version)}, toStrings(documents))
+}
+
+func keys(d Delta) map[string]string {
+	m := map[string]string{}
+	for _, doc := range d.Changed {
+		m[doc.Service] = string(doc.JSON)
+	}
+	return m
+}
+
+func toStrings(documents map[string][]byte) map[string]string {
+	m := map[string]string{}
+	for _, name := range slices.Collect(maps.Keys(documents)) {
+		m[name] = string(documents[name])
+	}
+	return m
+}
