--- a/internal/jsonfile/object.go
+++ b/internal/jsonfile/object.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		message := "unknown field"
-		if near := nearest(name, o.known); near != "" {
+		if near := Nearest(name, o.known); near != "" {
 			message += fmt.Sprintf("; did you mean %q?", near)
 		}
 		o.file.report(o.file.position(o.names[name]), o.Path(name), "%s", message)
@@ -160,7 +160,7 @@
 		return s
 	}
 	message := fmt.Sprintf("%q is not one of %s", lit.String(), strings.Join(choices, ", "))
-	if near := nearest(lit.String(), choices); near != "" {
+	if near := Nearest(lit.String(), choices); near != "" {
 		message += fmt.Sprintf("; did you mean %q?", near)
 	}
 	o.Report(name, "%s", message)
--- a/internal/jsonfile/quantity.go
+++ b/internal/jsonfile/quantity.go
@@ -53,9 +53,9 @@
 	return text
 }
 
-// nearest returns the known name that is at most two edits away from the given
+// Nearest returns the known name that is at most two edits away from the given
 // one, or an empty string.
-func nearest(name string, known []string) string {
+func Nearest(name string, known []string) string {
 	best, distance := "", 3
 	for _, k := range known {
 		if d := editDistance(strings.ToLower(name), strings.ToLower(k)); d < distance {
