--- /dev/null
+++ b/settings/daemon.go
@@ -0,0 +1,208 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/bilberrydeck/bilberrydeck/internal/jsonfile"
+)
+
+// Daemon holds the settings of one daemon, which runs beside one upstream.
+type Daemon struct {
+	ID               string // unique among all daemons
+	Region           string
+	AvailabilityZone string
+	Service          string // the declared service of the local upstream
+	Listen           DaemonListen
+	Upstream         Upstream
+	Relays           []string         // all relays of this availability zone; 1 to 7
+	Relay            *Relay           // nil if this daemon is not a relay
+	Controls         []string         // control replicas, for claims and for a start without relays; 1 to 7
+	LinkBudgets      map[string]int64 // bytes per second that this daemon may send to another region; a region that is absent gets no traffic
+	TLS              *TLS             // nil for loopback only
+	Log              Log
+}
+
+// DaemonListen holds the addresses of a daemon's listeners.
+type DaemonListen struct {
+	Entrance string // for callers
+	Exit     string // for the local service's own calls; loopback only
+	Peer     string // for other daemons
+	Admin    string // announce, drain, expvar, status; loopback only
+}
+
+// Upstream is the local process behind the gate.
+type Upstream struct {
+	URL       string // base URL without a trailing slash
+	HealthURL string // answers 200 while healthy; empty if there is none
+}
+
+// Relay holds the settings of a daemon that serves the feed to the daemons of
+// its availability zone.
+type Relay struct {
+	Listen string              // address of the feed server, one of Daemon.Relays
+	Source []string            // where to fetch the configuration, tried in this order: control replicas or relays; 1 to 16
+	Others map[string][]string // relays of the other availability zones, for their membership
+}
+
+// maxRelays bounds the relays of one availability zone: a new version waits
+// for a majority of them. The design uses three where possible.
+const maxRelays = 7
+
+// maxControls is the largest number of control VMs that the platform has.
+const maxControls = 7
+
+// maxSources bounds the order of sources. A relay gives up on a stale source
+// after 2 s, so a longer list would take more than half a minute to try.
+const maxSources = 16
+
+// budgetRange allows 0 (no traffic to the region) up to 1 GiB/s, twice the
+// capacity of the 4 Gbit/s links between regions.
+var budgetRange = jsonfile.Range[int64]{Min: 0, Max: 1 << 30, Why: "links between regions carry 4 Gbit/s"}
+
+// LoadDaemon reads and validates a daemon's settings file. It returns the
+// warnings beside valid settings; the error is of type Problems if the file
+// could be read but is not valid.
+func LoadDaemon(path string) (Daemon, Problems, error) { return load(path, ParseDaemon) }
+
+// ParseDaemon validates the text of a daemon's settings file. Relative paths
+// are resolved against the directory of the file.
+func ParseDaemon(path string, src []byte) (Daemon, Problems) {
+	r, top := open(path, src)
+	if top == nil {
+		return Daemon{}, r.file.Problems()
+	}
+	d := Daemon{
+		ID:               identifier(top, "id"),
+		Region:           identifier(top, "region"),
+		AvailabilityZone: identifier(top, "availability_zone"),
+		Service:          identifier(top, "service"),
+		TLS:              r.tls(top),
+		Log:              r.log(top),
+	}
+	d.Listen = readListen(top, d.TLS != nil)
+	d.Upstream = readUpstream(top)
+	d.Relays = nonEmpty(top, "relays", maxRelays)
+	d.Controls = nonEmpty(top, "controls", maxControls)
+	d.LinkBudgets = readBudgets(top, d.Region)
+	d.Relay = readRelay(top, d)
+	top.Close()
+	return d, r.file.Problems()
+}
+
+func readListen(top *jsonfile.Object, secured bool) DaemonListen {
+	o := top.RequiredObject("listen")
+	if o == nil {
+		return DaemonListen{}
+	}
+	l := DaemonListen{
+		Entrance: listenAddress(o, "entrance"),
+		Exit:     listenAddress(o, "exit"),
+		Peer:     listenAddress(o, "peer"),
+		Admin:    listenAddress(o, "admin"),
+	}
+	requireLoopback(o, "exit", l.Exit, whyLocal)
+	requireLoopback(o, "admin", l.Admin, whyLocal)
+	if !secured {
+		requireLoopback(o, "entrance", l.Entrance, whyNoTLS)
+		requireLoopback(o, "peer", l.Peer, whyNoTLS)
+	}
+	reportShared(o, []string{"entrance", "exit", "peer", "admin"}, []string{l.Entrance, l.Exit, l.Peer, l.Admin})
+	o.Close()
+	return l
+}
+
+// reportShared reports two listeners on one address.
+func reportShared(o *jsonfile.Object, names, values []string) {
+	for i, v := range values {
+		if first := slices.Index(values, v); first < i && v != "" {
+			o.Report(names[i], "%q is also the address of %s", v, names[first])
+		}
+	}
+}
+
+func readUpstream(top *jsonfile.Object) Upstream {
+	o := top.RequiredObject("upstream")
+	if o == nil {
+		return Upstream{}
+	}
+	u := Upstream{
+		URL:       httpURL(o, "url", o.Text("url")),
+		HealthURL: httpURL(o, "health_url", o.OptionalText("health_url")),
+	}
+	o.Close()
+	return u
+}
+
+// nonEmpty reads a required list of 1 to limit addresses.
+func nonEmpty(o *jsonfile.Object, name string, limit int) []string {
+	list := addresses(o, name)
+	switch {
+	case !o.Has(name):
+		o.Report(name, "is missing")
+	case len(list) == 0 || len(list) > limit:
+		o.Report(name, "must hold 1 to %d addresses, holds %d", limit, len(list))
+	}
+	return list
+}
+
+func readBudgets(top *jsonfile.Object, own string) map[string]int64 {
+	budgets := map[string]int64{}
+	o := top.Object("link_budgets")
+	if o == nil {
+		return budgets
+	}
+	for _, region := range o.Names() {
+		budgets[region] = o.OptionalSize(region, "/s", 0, budgetRange)
+		switch {
+		case !idPattern.MatchString(region):
+			o.Report(region, "%q is not the name of a region", region)
+		case region == own:
+			o.Report(region, "is this daemon's own region, which has no budget")
+		}
+	}
+	return budgets
+}
+
+func readRelay(top *jsonfile.Object, d Daemon) *Relay {
+	o := top.Object("relay")
+	if o == nil {
+		return nil
+	}
+	r := &Relay{
+		Listen: listenAddress(o, "listen"),
+		Source: nonEmpty(o, "sources", maxSources),
+		Others: readOthers(o, d.AvailabilityZone),
+	}
+	if d.TLS == nil {
+		requireLoopback(o, "listen", r.Listen, whyNoTLS)
+	}
+	if r.Listen != "" && !slices.Contains(d.Relays, r.Listen) {
+		o.Report("listen", "%q must be one of relays, since majorities are counted over that list", r.Listen)
+	}
+	if i := slices.Index(r.Source, r.Listen); i >= 0 && r.Listen != "" {
+		o.Report(elementName("sources", i), "is this relay itself")
+	}
+	o.Close()
+	return r
+}
+
+func readOthers(relay *jsonfile.Object, own string) map[string][]string {
+	others := map[string][]string{}
+	o := relay.Object("others")
+	if o == nil {
+		return others
+	}
+	for _, az := range o.Names() {
+		others[az] = nonEmpty(o, az, maxRelays)
+		switch {
+		case !idPattern.MatchString(az):
+			o.Report(az, "%q is not the name of an availability zone", az)
+		case az == own:
+			o.Report(az, "is this daemon's own availability zone")
+		}
+	}
+	return others
+}
+
+func elementName(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
