--- a/declaration/check.go
+++ b/declaration/check.go
@@ -19,9 +19,20 @@
 // problem names the service in place of the file. The result is sorted and
 // depends only on the arguments.
 func Check(set []Service, positions []Positions) Problems {
+	return newChecker(set, positions).run()
+}
+
+// CheckPart is Check for a part of the services: a call to a service outside
+// of the part is a warning, since only control knows all sets.
+func CheckPart(set []Service, positions []Positions) Problems {
 	c := newChecker(set, positions)
+	c.partial = true
+	return c.run()
+}
+
+func (c *checker) run() Problems {
 	c.duplicateServices()
-	for i, s := range set {
+	for i, s := range c.set {
 		c.size(i, s)
 		c.duplicateRoutes(i, s)
 		c.conflictingPaths(i, s)
@@ -42,13 +53,16 @@
 	set       []Service
 	positions []Positions
 	byID      map[RouteID]routeRef
+	services  map[string]bool
 	problems  Problems
+	partial   bool // whether other services may be declared elsewhere
 	cyclic    bool
 }
 
 func newChecker(set []Service, positions []Positions) *checker {
-	c := &checker{set: set, positions: positions, byID: map[RouteID]routeRef{}}
+	c := &checker{set: set, positions: positions, byID: map[RouteID]routeRef{}, services: map[string]bool{}}
 	for i, s := range set {
+		c.services[s.Name] = true
 		for j, r := range s.Routes {
 			id := RouteID{s.Name, r.Name}
 			if _, taken := c.byID[id]; !taken {
@@ -138,6 +152,10 @@
 			continue
 		}
 		below, known := c.byID[id]
+		if !known && c.partial && !c.services[id.Service] {
+			c.report(ref.service, true, field, "%s is not declared here; control checks it against the other sets", id)
+			continue
+		}
 		if !known {
 			c.report(ref.service, false, field, "%s is not declared%s", id, c.suggest(id))
 			continue
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -158,6 +158,14 @@
 		Check([]Service{a}, []Positions{at}).Error())
 }
 
+// TestCheckPart guards against a part of a set that cannot be published
+// because it calls services of another set.
+func TestCheckPart(t *testing.T) {
+	set := []Service{service("a", route("x", true, 1, "b.y", "c.z")), service("b", route("q", true, 1))}
+	require.Equal(t, `a: routes[0].calls[0]: b.y is not declared; did you mean "b.q"?`, CheckPart(set, nil).Errors().Error())
+	require.Len(t, CheckPart(set, nil), 2)
+}
+
 // TestCheckDocumentsIgnoresOrder guards against replicas that give different
 // answers to the same change.
 func TestCheckDocumentsIgnoresOrder(t *testing.T) {
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -12,7 +12,7 @@
 	ID               string // unique among all daemons
 	Region           string
 	AvailabilityZone string
-	Service          string // the declared service of the local upstream
+	Service          string // the declared service of the local upstream; empty for a daemon without one
 	Listen           DaemonListen
 	Upstream         Upstream
 	Relays           []string         // all relays of this availability zone; 1 to 7
@@ -33,7 +33,7 @@
 
 // Upstream is the local process behind the gate.
 type Upstream struct {
-	URL       string // base URL without a trailing slash
+	URL       string // base URL on loopback without a path; empty if the upstream announces itself
 	HealthURL string // answers 200 while healthy; empty if there is none
 }
 
@@ -76,12 +76,14 @@
 		ID:               identifier(top, "id"),
 		Region:           identifier(top, "region"),
 		AvailabilityZone: identifier(top, "availability_zone"),
-		Service:          identifier(top, "service"),
 		TLS:              r.tls(top),
 		Log:              r.log(top),
 	}
+	if top.Has("service") {
+		d.Service = identifier(top, "service")
+	}
 	d.Listen = readListen(top, d.TLS != nil)
-	d.Upstream = readUpstream(top)
+	d.Upstream = readUpstream(top, d.Service)
 	d.Relays = nonEmpty(top, "relays", maxRelays)
 	d.Controls = nonEmpty(top, "controls", maxControls)
 	d.LinkBudgets = readBudgets(top, d.Region)
@@ -121,14 +123,17 @@
 	}
 }
 
-func readUpstream(top *jsonfile.Object) Upstream {
-	o := top.RequiredObject("upstream")
+func readUpstream(top *jsonfile.Object, service string) Upstream {
+	o := top.Object("upstream")
 	if o == nil {
 		return Upstream{}
 	}
+	if service == "" {
+		top.Report("upstream", "needs the service that it belongs to")
+	}
 	u := Upstream{
-		URL:       httpURL(o, "url", o.Text("url")),
-		HealthURL: httpURL(o, "health_url", o.OptionalText("health_url")),
+		URL:       httpURL(o, "url", o.Text("url"), false),
+		HealthURL: httpURL(o, "health_url", o.OptionalText("health_url"), true),
 	}
 	o.Close()
 	return u
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -180,18 +180,22 @@
 	return l
 }
 
-// httpURL checks the URL of the local upstream.
-func httpURL(o *jsonfile.Object, name, text string) string {
+// httpURL checks a URL of the local upstream.
+func httpURL(o *jsonfile.Object, name, text string, path bool) string {
 	if text == "" {
 		return ""
 	}
+	text = strings.TrimSuffix(text, "/")
 	u, err := url.Parse(text)
-	if err != nil || u.Scheme != "http" || u.Host == "" || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+	if err != nil || u.Scheme != "http" || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
 		o.Report(name, `%q must be an http URL without a query, such as "http://127.0.0.1:8080"`, text)
 		return text
 	}
-	if _, err := netip.ParseAddrPort(u.Host); err != nil {
-		o.Report(name, "%q must name an IP address and a port", text)
+	if ap, err := netip.ParseAddrPort(u.Host); err != nil || !ap.Addr().IsLoopback() {
+		o.Report(name, "%q must name a loopback address and a port: the daemon runs beside its upstream", text)
 	}
-	return strings.TrimSuffix(text, "/")
+	if u.Path != "" && !path {
+		o.Report(name, "%q must not have a path", text)
+	}
+	return text
 }
