declaration: checker that remembers unchanged documents

Control replicas check the whole set for each change, also for each change that they replay after a restart. Its answers are those of CheckDocuments, which is now one use of it; a test compares both over changed sets.

Suggested names now differ by at most a third of their length: two edits of "b.y" are another name.

--- a/declaration/check.go
+++ b/declaration/check.go
@@ -31,19 +31,31 @@
 }
 
 func (c *checker) run() Problems {
+	for i, s := range c.set {
+		c.alone(i, s)
+	}
+	c.together()
+	c.problems.Sort()
+	return c.problems
+}
+
+// alone applies the rules that concern one service.
+func (c *checker) alone(i int, s Service) {
+	c.size(i, s)
+	c.duplicateRoutes(i, s)
+	c.conflictingPaths(i, s)
+}
+
+// together applies the rules that concern several services.
+func (c *checker) together() {
 	c.duplicateServices()
 	for i, s := range c.set {
-		c.size(i, s)
-		c.duplicateRoutes(i, s)
-		c.conflictingPaths(i, s)
 		for j, r := range s.Routes {
 			c.calls(routeRef{i, j}, r)
 		}
 	}
 	c.cycles()
 	c.depths()
-	c.problems.Sort()
-	return c.problems
 }
 
 // routeRef is a route by the indexes of its service and of itself.
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -174,7 +174,9 @@
 	docs := Documents(set)
 	want := CheckDocuments(docs)
 	require.Len(t, want, 3)
+	held := NewDocumentChecker()
 	for range 20 {
+		require.Equal(t, want, held.Check(docs))
 		docs = append(docs[7:], docs[:7]...)
 		slices.Reverse(docs)
 		require.Equal(t, want, CheckDocuments(docs))
@@ -187,6 +189,22 @@
 	}, CheckDocuments(bad))
 }
 
+// TestDocumentCheckerSeesChanges guards against an answer that belongs to an
+// earlier form of a document.
+func TestDocumentCheckerSeesChanges(t *testing.T) {
+	c := NewDocumentChecker()
+	set := []Service{service("a", route("x", true, 1e9, "b.y")), service("b", route("y", true, 1e9))}
+	require.Empty(t, c.Check(Documents(set)))
+	set[1].Routes[0].Idempotent = false
+	require.Len(t, c.Check(Documents(set)), 1)
+	require.Equal(t, []string{"a: routes[0].calls[0]: b.y is not declared"}, c.Check(Documents(set[:1])))
+	set[1] = service("b", route("y", true, 1e9), route("y", true, 1e9))
+	want := CheckDocuments(Documents(set))
+	require.Len(t, want, 2, "a repeated name and a repeated path")
+	require.Equal(t, want, c.Check(Documents(set)))
+	require.Equal(t, want, c.Check(Documents(set)))
+}
+
 // FuzzParse guards against panics of the parser and against a canonical form
 // that is not stable.
 func FuzzParse(f *testing.F) {
@@ -206,3 +224,33 @@
 		require.Equal(t, len(Check([]Service{s}, []Positions{positions})), len(Check([]Service{s}, nil)))
 	})
 }
+
+// BenchmarkCheckDocuments measures the check that each control replica makes
+// for each change, at the number of services planned for.
+func BenchmarkCheckDocuments(b *testing.B) {
+	var set []Service
+	for i := range 240 {
+		s := service(fmt.Sprintf("service-%03d", i))
+		for j := range 10 {
+			r := route(fmt.Sprintf("route-%d", j), true, time.Second)
+			if i%12 < 11 && i+1 < 240 {
+				r.Calls = []RouteID{{fmt.Sprintf("service-%03d", i+1), r.Name}}
+			}
+			s.Routes = append(s.Routes, r)
+		}
+		set = append(set, s)
+	}
+	docs := Documents(set)
+	checkers := map[string]func() *DocumentChecker{"fresh": NewDocumentChecker}
+	held := NewDocumentChecker()
+	checkers["held"] = func() *DocumentChecker { return held }
+	for name, checker := range checkers {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if lines := checker().Check(docs); len(lines) > 0 {
+					b.Fatal(lines[0])
+				}
+			}
+		})
+	}
+}
--- a/internal/jsonfile/quantity.go
+++ b/internal/jsonfile/quantity.go
@@ -53,10 +53,10 @@
 	return text
 }
 
-// Nearest returns the known name that is at most two edits away from the given
-// one, or an empty string.
+// Nearest returns the known name that differs least from the given one, by at
+// most two edits and a third of its length, or an empty string.
 func Nearest(name string, known []string) string {
-	best, distance := "", 3
+	best, distance := "", min(2, len(name)/3)+1
 	for _, k := range known {
 		if d := editDistance(strings.ToLower(name), strings.ToLower(k)); d < distance {
 			best, distance = k, d
