daemon, logging: the whole path from caller to the second service

Cause: the core packages need a process around them. Change: entrance, exit, peer and admin listeners on net/http; attempts over HTTP/1.1 whose connections count bytes, so that not-run has a proof; gate binding, chain handles, allowance shares, claims, drain, metrics; key=value log lines and a decision log behind a bounded queue. Adds the reasons handler-error and slow-body to core/chain. Result: go test -race ./daemon ./logging passes: a call through three daemons and two services, 13 typed refusals, forged and ended chain handles.

--- a/core/chain/outcome.go
+++ b/core/chain/outcome.go
@@ -60,6 +60,8 @@
 	ReasonTruncated         Reason = "truncated"                 // the answer ended early
 	ReasonCrossed           Reason = "crossed"                   // the answer belongs to another request or attempt
 	ReasonUpstreamError     Reason = "upstream-error"            // the connection broke after bytes were written
+	ReasonHandlerError      Reason = "handler-error"             // the upstream answered with a 5xx status
+	ReasonSlowBody          Reason = "slow-body"                 // the sender of a body made too little progress
 	ReasonInProgress        Reason = "in-progress"               // another attempt holds the claim
 	ReasonKeyFinished       Reason = "key-finished"              // finished before, but the answer was too large to keep
 	ReasonKeyExpired        Reason = "key-expired"               // older than the retention of claims
@@ -108,6 +110,8 @@
 		return 400
 	case ReasonTooLarge:
 		return 413
+	case ReasonSlowBody:
+		return 408
 	case ReasonDeadline:
 		return 504
 	case ReasonHeldOff:
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// announceLimit bounds the body of an announcement.
+const announceLimit = 4 << 10
+
+// announceRequest is what a local service says of itself.
+type announceRequest struct {
+	Service string `json:"service"`
+	Address string `json:"address"` // http://host:port on loopback
+}
+
+// Status is the answer to GET /status.
+type Status struct {
+	ID                   string `json:"id"`
+	Service              string `json:"service"`
+	Region               string `json:"region"`
+	AvailabilityZone     string `json:"availability_zone"`
+	State                string `json:"state"`
+	Upstream             string `json:"upstream"` // host:port, empty before it was announced
+	ConfigurationVersion uint64 `json:"configuration_version"`
+	Confirmed            bool   `json:"confirmed"`
+	Level                int    `json:"level"`
+	Limit                int    `json:"limit"`
+	InFlight             int    `json:"in_flight"`
+	Queued               int    `json:"queued"`
+	Unhealthy            bool   `json:"unhealthy"`
+}
+
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", d.serveAnnounce)
+	mux.HandleFunc("POST /drain", d.serveDrain)
+	mux.HandleFunc("GET /status", d.serveStatus)
+	mux.HandleFunc("GET /debug/vars", d.serveVars)
+	return mux
+}
+
+// serveAnnounce takes the address of the local service. An announcement for
+// another service would send this service's requests to the wrong process.
+func (d *Daemon) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var a announceRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, announceLimit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		refusal{failure: badRequest("the announcement is not valid JSON: " + err.Error())}.write(w)
+		return
+	}
+	if d.cfg.Service == "" || a.Service != d.cfg.Service {
+		refusal{failure: badRequest("this daemon serves " + quoted(d.cfg.Service) + ", not " + quoted(a.Service))}.write(w)
+		return
+	}
+	u, err := localURL(a.Address)
+	if err != nil {
+		refusal{failure: badRequest(err.Error())}.write(w)
+		return
+	}
+	if d.draining.Load() {
+		refusal{failure: chain.NewFailure(chain.NotRun, chain.ReasonDraining, "this daemon is draining")}.write(w)
+		return
+	}
+	d.setLocal(u.Host)
+	d.updateState()
+	d.log.Info().Str("service", a.Service).Str("address", u.Host).Msg("upstream announced itself")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func quoted(s string) string {
+	if s == "" {
+		return "no service"
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return "another service" // strings always marshal
+	}
+	return string(b)
+}
+
+// serveDrain starts a planned stop.
+func (d *Daemon) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	d.startDrain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(d.Status()) // the reader has left if this fails
+}
+
+// Status describes the daemon for operators.
+func (d *Daemon) Status() Status {
+	s := Status{
+		ID: d.cfg.ID, Service: d.cfg.Service, Region: d.cfg.Region, AvailabilityZone: d.cfg.AvailabilityZone,
+		State: stateName(d.State()), Unhealthy: d.unhealthy.Load(),
+	}
+	if local := d.local.Load(); local != nil {
+		s.Upstream = local.address
+	}
+	if c := d.snapshot.Load(); c != nil {
+		s.ConfigurationVersion, s.Confirmed = c.source.Version, c.source.Confirmed
+	}
+	if g := d.gate.Load(); g != nil {
+		r := g.report()
+		s.Level, s.Limit, s.InFlight, s.Queued = int(r.Level), r.Limit, r.InFlight, r.Queued
+	}
+	return s
+}
--- /dev/null
+++ b/daemon/drain.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// startDrain announces the planned stop and refuses new work at the gate.
+func (d *Daemon) startDrain() {
+	d.drainOnce.Do(func() {
+		d.snapshotMu.Lock()
+		d.draining.Store(true)
+		if c := d.snapshot.Load(); c != nil {
+			d.publishUpstreams(c.source, c)
+		}
+		if g := d.gate.Load(); g != nil {
+			g.drain()
+		}
+		d.snapshotMu.Unlock()
+		d.updateState()
+		close(d.drain)
+	})
+}
+
+// stop ends the listeners in an order in which nothing in flight loses what it
+// needs: the exit listener stays open until the handlers are done.
+func (d *Daemon) stop() error {
+	d.waitDelay()
+	var first sync.WaitGroup
+	for _, s := range []*server{&d.listeners.entrance, &d.listeners.peer} {
+		first.Go(func() { d.shutdown(s) })
+	}
+	first.Wait()
+	d.waitBackground()
+	d.shutdown(&d.listeners.exit)
+	d.gone.Store(true)
+	d.updateState()
+	_ = d.listeners.admin.http.Close() // nothing in flight there matters
+	return nil
+}
+
+// waitDelay keeps the entrance routing while the other daemons learn of the stop.
+func (d *Daemon) waitDelay() {
+	timer := time.NewTimer(d.cfg.DrainDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.killed.Done():
+	}
+}
+
+// shutdown stops one listener and waits for what is in flight, however slow.
+// Only Kill ends the wait.
+func (d *Daemon) shutdown(s *server) {
+	if s.http.Shutdown(d.killed) != nil {
+		_ = s.http.Close() // killed
+	}
+}
+
+// waitBackground waits until the ends of claims have been recorded.
+func (d *Daemon) waitBackground() {
+	done, cancel := context.WithCancel(context.Background())
+	go func() {
+		d.background.Wait()
+		cancel()
+	}()
+	select {
+	case <-done.Done():
+	case <-d.killed.Done():
+		cancel()
+	}
+}
--- /dev/null
+++ b/daemon/headers.go
@@ -0,0 +1,289 @@
+package daemon
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// Headers between callers, daemons and local services, in canonical form.
+const (
+	headerClass     = "Bilberry-Class"
+	headerDeadline  = "Bilberry-Deadline-Ms"
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "Bilberry-Request-Id"
+	headerChain     = "Bilberry-Chain"
+	headerOutcome   = "Bilberry-Outcome"
+	headerReason    = "Bilberry-Reason"
+	headerReplayed  = "Bilberry-Replayed" // the answer is the stored one of an earlier request
+)
+
+// Headers that only the peer listener reads and only daemons write.
+const (
+	headerPeerService   = "Bilberry-Service"
+	headerPeerMethod    = "Bilberry-Method"
+	headerPeerPath      = "Bilberry-Path"
+	headerPeerHost      = "Bilberry-Host"
+	headerPeerAttempt   = "Bilberry-Attempt"
+	headerPeerPriority  = "Bilberry-Priority"
+	headerPeerAllowance = "Bilberry-Allowance"
+	headerPeerDepth     = "Bilberry-Depth"
+	headerPeerKey       = "Bilberry-Key"
+	headerPeerVersion   = "Bilberry-Version"
+	headerPeerRefusal   = "Bilberry-Refusal" // a daemon wrote the answer, not a handler
+	headerPeerDeep      = "Bilberry-Deep"
+	headerPeerMessage   = "Bilberry-Message"
+	headerPeerUnused    = "Bilberry-Unused"
+	headerPeerReport    = "Bilberry-Report"
+	headerPeerLength    = "Bilberry-Length" // content length of an answer that is sent in chunks
+)
+
+const (
+	maxDeadline      = 600 * time.Second // the largest Bilberry-Deadline-Ms
+	maxRequestID     = 64
+	maxHeaderBytes   = 32 << 10 // all headers of one request; above it the request is refused as bad input
+	hardHeaderBytes  = 4 * maxHeaderBytes
+	prefixBilberry   = "Bilberry-"
+	idempotencyAlias = "X-Idempotency-Key"
+)
+
+func badRequest(message string) *chain.Failure {
+	return chain.NewFailure(chain.NotRun, chain.ReasonBadRequest, message)
+}
+
+// first returns the only value of a header. A repeated header is refused: two
+// daemons could otherwise read different ones.
+func first(h http.Header, name string) (string, *chain.Failure) {
+	values := h[name]
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return values[0], nil
+	}
+	return "", badRequest("header " + name + " is repeated")
+}
+
+// parseDeadline reads remaining milliseconds. The limit is returned if the
+// header is absent or larger.
+func parseDeadline(value string, limit time.Duration) (time.Duration, *chain.Failure) {
+	if value == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseUint(value, 10, 32)
+	if err != nil || ms == 0 || ms > uint64(maxDeadline.Milliseconds()) {
+		return 0, badRequest(headerDeadline + " must be 1 to 600000")
+	}
+	return min(time.Duration(ms)*time.Millisecond, limit), nil
+}
+
+// remainingMs rounds down, so that the time shrinks at each hop. At least 1 is
+// sent, because 0 is not a deadline.
+func remainingMs(d time.Duration) string {
+	return strconv.FormatInt(max(d.Milliseconds(), 1), 10)
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestID {
+		return false
+	}
+	for i := range len(id) {
+		c := id[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && c != '.' && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// parseKey checks an idempotency key. Claims rely on the creation time that a
+// version 7 UUID carries. The canonical form is returned, so that one key has
+// one claim.
+func parseKey(value string) (string, *chain.Failure) {
+	if value == "" {
+		return "", nil
+	}
+	if len(value) != 36 {
+		return "", badRequest(headerKey + " must be a UUID of version 7")
+	}
+	id, err := uuid.Parse(value)
+	if err != nil || id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return "", badRequest(headerKey + " must be a UUID of version 7")
+	}
+	return id.String(), nil
+}
+
+// keyTime is the creation time of a key that parseKey accepted.
+func keyTime(key string) time.Time {
+	id, err := uuid.Parse(key)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.Unix(id.Time().UnixTime())
+}
+
+// headerSize is the size of all headers as net/http counts them on the wire.
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// peerRequest is what one daemon tells another about an attempt.
+type peerRequest struct {
+	service   string
+	method    string
+	path      string // escaped path and query
+	remaining time.Duration
+	allowance int
+	depth     int
+	context   chain.Context
+}
+
+// parsePeer reads the headers of an attempt.
+func parsePeer(h http.Header) (peerRequest, *chain.Failure) {
+	var p peerRequest
+	var err error
+	p.service, p.method, p.path = h.Get(headerPeerService), h.Get(headerPeerMethod), h.Get(headerPeerPath)
+	p.context.RequestID = h.Get(headerRequestID)
+	if p.service == "" || p.method == "" || !strings.HasPrefix(p.path, "/") || !validRequestID(p.context.RequestID) {
+		return p, badRequest("incomplete peer headers")
+	}
+	var failure *chain.Failure
+	if p.remaining, failure = parseDeadline(h.Get(headerDeadline), maxDeadline); failure != nil {
+		return p, failure
+	}
+	attempt, err := strconv.ParseUint(h.Get(headerPeerAttempt), 10, 32)
+	if err != nil || attempt == 0 {
+		return p, badRequest("bad " + headerPeerAttempt)
+	}
+	p.context.Attempt = uint32(attempt)
+	priority, err := strconv.ParseUint(h.Get(headerPeerPriority), 10, 16)
+	if err != nil || chain.Priority(priority) >= chain.MaxPriority {
+		return p, badRequest("bad " + headerPeerPriority)
+	}
+	p.context.Priority = chain.Priority(priority)
+	allowance, err := strconv.ParseUint(h.Get(headerPeerAllowance), 10, 16)
+	if err != nil {
+		return p, badRequest("bad " + headerPeerAllowance)
+	}
+	p.allowance = int(allowance)
+	return p.parseRest(h)
+}
+
+func (p peerRequest) parseRest(h http.Header) (peerRequest, *chain.Failure) {
+	depth, err := strconv.ParseUint(h.Get(headerPeerDepth), 10, 16)
+	if err != nil {
+		return p, badRequest("bad " + headerPeerDepth)
+	}
+	if depth > chain.MaxDepth {
+		return p, chain.NewFailure(chain.NotRun, chain.ReasonTooDeep, "the call chain is too deep")
+	}
+	p.depth, p.context.Depth = int(depth), int(depth)
+	key, failure := parseKey(h.Get(headerPeerKey))
+	if failure != nil {
+		return p, failure
+	}
+	p.context.Key = key
+	if v := h.Get(headerPeerVersion); v != "" {
+		p.context.Version, err = strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			return p, badRequest("bad " + headerPeerVersion)
+		}
+	}
+	return p, nil
+}
+
+// formatReport writes the load report of a gate: level, limit, in flight,
+// queued, and the highest level of the services below.
+func formatReport(r admit.Report) string {
+	buf := make([]byte, 0, 32)
+	for i, v := range [...]int{int(r.Level), r.Limit, r.InFlight, r.Queued, int(r.Below)} {
+		if i > 0 {
+			buf = append(buf, ',')
+		}
+		buf = strconv.AppendInt(buf, int64(v), 10)
+	}
+	return string(buf)
+}
+
+// parseReport reads a load report. A malformed one is treated as absent: a
+// report may only lower trust.
+func parseReport(value string) *admit.Report {
+	var v [5]int
+	for i := range v {
+		field, rest, more := strings.Cut(value, ",")
+		n, err := strconv.ParseUint(field, 10, 31)
+		if err != nil || more != (i < len(v)-1) {
+			return nil
+		}
+		v[i], value = int(n), rest
+	}
+	if v[0] > int(chain.MaxPriority) || v[4] > int(chain.MaxPriority) {
+		return nil
+	}
+	return &admit.Report{
+		Level: chain.Priority(v[0]), Limit: v[1], InFlight: v[2], Queued: v[3], Below: chain.Priority(v[4]),
+	}
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true,
+}
+
+// passHeaders copies the headers that belong to the message itself. Values are
+// shared, not copied: neither side changes them. Idempotency keys are left
+// out because net/http resends requests that carry one.
+func passHeaders(dst, src http.Header) {
+	listed := src["Connection"]
+	for name, values := range src {
+		if hopHeaders[name] || strings.HasPrefix(name, prefixBilberry) || name == headerKey || name == idempotencyAlias {
+			continue
+		}
+		if len(listed) > 0 && connectionListed(listed, name) {
+			continue
+		}
+		dst[name] = values
+	}
+}
+
+func connectionListed(values []string, name string) bool {
+	for _, v := range values {
+		for part := range strings.SplitSeq(v, ",") {
+			if http.CanonicalHeaderKey(strings.TrimSpace(part)) == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// classOf applies a class that the caller asked for: it may lower the declared
+// one. Raised reports that the caller asked for a higher one.
+func classOf(value string, declared chain.Class) (class chain.Class, raised bool, failure *chain.Failure) {
+	if value == "" {
+		return declared, false, nil
+	}
+	asked, ok := chain.ParseClass(value)
+	if !ok {
+		return declared, false, badRequest(headerClass + " must be one of " + strings.Join(chain.ClassNames(), ", "))
+	}
+	if asked > declared {
+		return declared, true, nil
+	}
+	return asked, false, nil
+}
--- /dev/null
+++ b/daemon/ids.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"sync"
+)
+
+// idSource generates request ids. They need not be secret, only distinct.
+type idSource struct {
+	mu  sync.Mutex
+	rng *rand.ChaCha8
+}
+
+func newIDSource(seed, boot uint64, id string) *idSource {
+	var key [32]byte
+	binary.LittleEndian.PutUint64(key[:], seed)
+	binary.LittleEndian.PutUint64(key[8:], boot)
+	copy(key[16:], id)
+	return &idSource{rng: rand.NewChaCha8(key)}
+}
+
+func (s *idSource) next() string {
+	s.mu.Lock()
+	a, b := s.rng.Uint64(), s.rng.Uint64()
+	s.mu.Unlock()
+	var raw [16]byte
+	binary.LittleEndian.PutUint64(raw[:], a)
+	binary.LittleEndian.PutUint64(raw[8:], b)
+	return hex.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/daemon/local.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// handlerResult is what the local upstream made of a request.
+type handlerResult struct {
+	answer  *answer        // nil if there is none to pass on
+	failure *chain.Failure // nil for an answer that is ok
+}
+
+// callHandler sends a request to the local upstream.
+func (in *inbound) callHandler(ctx context.Context, e *entry, handle string) handlerResult {
+	target, err := url.ParseRequestURI(in.peer.path)
+	if err != nil {
+		return handlerResult{failure: badRequest("bad path")}
+	}
+	local := in.d.local.Load()
+	target.Scheme, target.Host = "http", local.address
+	out := &outgoing{
+		transport: local.transport,
+		method:    in.peer.method,
+		url:       target,
+		host:      in.r.Header.Get(headerPeerHost),
+		header:    in.handlerHeader(e, handle),
+		body:      in.body,
+	}
+	resp, s, failure := out.send(ctx)
+	if failure != nil {
+		return handlerResult{failure: failure}
+	}
+	outcome := handlerOutcome(resp, e)
+	a, failure := in.readAnswer(ctx, resp, s)
+	if failure != nil {
+		return handlerResult{failure: failure}
+	}
+	if outcome != nil && outcome.Outcome == chain.NotRun {
+		a.discard()
+		return handlerResult{failure: outcome}
+	}
+	return handlerResult{answer: a, failure: outcome}
+}
+
+// readAnswer reads a small answer whole. An answer to HEAD has a length but no
+// body.
+func (in *inbound) readAnswer(ctx context.Context, resp *http.Response, s *sent) (*answer, *chain.Failure) {
+	if in.peer.method != http.MethodHead {
+		return newAnswer(ctx, resp, s)
+	}
+	_ = resp.Body.Close() // has no bytes
+	return &answer{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, whole: []byte{}}, nil
+}
+
+// handlerOutcome types the status of a handler's answer. A handler that sheds
+// load may say itself that it did not run, unless it made calls: it could then
+// have copied the words from an answer below.
+func handlerOutcome(resp *http.Response, e *entry) *chain.Failure {
+	if resp.StatusCode < http.StatusInternalServerError {
+		return nil
+	}
+	said := resp.Header.Get(headerOutcome) == chain.NotRun.String()
+	if resp.StatusCode == http.StatusServiceUnavailable && said && !e.madeCalls() {
+		return chain.NewFailure(chain.NotRun, chain.ReasonOverload, "the upstream refused the request")
+	}
+	f := chain.NewFailure(chain.Failed, chain.ReasonHandlerError, "the handler failed")
+	f.Deep = e.belowFailed()
+	return f
+}
+
+// handlerHeader builds the headers that the local upstream sees.
+func (in *inbound) handlerHeader(e *entry, handle string) http.Header {
+	h := make(http.Header, len(in.r.Header))
+	passHeaders(h, in.r.Header)
+	h[headerChain] = []string{handle}
+	h[headerRequestID] = []string{e.ctx.RequestID}
+	h[headerClass] = []string{e.ctx.Priority.Class().String()}
+	h[headerDeadline] = []string{remainingMs(e.ctx.Remaining(in.d.cfg.Now()))}
+	if e.ctx.Key != "" {
+		h[headerKey] = []string{e.ctx.Key}
+	}
+	return h
+}
+
+// localService is the upstream beside this daemon.
+type localService struct {
+	address   string // host:port
+	transport *http.Transport
+}
+
+// below is the highest level of the services that a route calls.
+func (d *Daemon) below(r *route) chain.Priority {
+	var highest chain.Priority
+	now := d.cfg.Now()
+	for _, id := range r.Calls {
+		highest = max(highest, d.levels.Level(now, id.String()))
+	}
+	return highest
+}
+
+func (in *inbound) report() string {
+	report := in.gate.report()
+	report.Below = in.d.below(in.route)
+	return formatReport(report)
+}
+
+func unusedText(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// metrics are the counters of one daemon. All count events since the start
+// unless the name ends in a unit.
+type metrics struct {
+	all *expvar.Map
+
+	entrance, exit, peer *expvar.Int // requests received by listener
+	exitWithoutChain     *expvar.Int // calls of the local service without a chain handle
+	attempts, retries    *expvar.Int // attempts sent to other daemons; those that were retries
+	crossed              *expvar.Int // answers that belonged to another request
+	truncated            *expvar.Int // answers that ended early, as received
+	cutAnswers           *expvar.Int // answers of the gate that were cut off on purpose
+	forged               *expvar.Int // refused chain handles
+	raisedClass          *expvar.Int // callers that asked for a class above the declared one
+	undeclaredCalls      *expvar.Int // calls that the declaration of the calling route does not list
+	claims, claimErrors  *expvar.Int // claims asked for; failed calls to the claim group
+	replayed             *expvar.Int // stored answers given to repeats
+	ok                   *expvar.Int // calls answered with outcome ok
+	outcomes             *expvar.Map // calls that failed, by outcome/reason
+	gateRefusals         *expvar.Map // attempts refused by this daemon's peer listener, by reason
+}
+
+func newMetrics() *metrics {
+	m := &metrics{all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), gateRefusals: new(expvar.Map).Init()}
+	for name, target := range map[string]**expvar.Int{
+		"entrance_requests": &m.entrance, "exit_requests": &m.exit, "peer_attempts": &m.peer,
+		"exit_without_chain": &m.exitWithoutChain, "attempts_sent": &m.attempts, "retries_sent": &m.retries,
+		"answers_crossed": &m.crossed, "answers_truncated": &m.truncated, "answers_cut": &m.cutAnswers,
+		"chain_handles_refused": &m.forged, "classes_raised": &m.raisedClass, "calls_undeclared": &m.undeclaredCalls,
+		"claims": &m.claims, "claim_errors": &m.claimErrors, "answers_replayed": &m.replayed, "calls_ok": &m.ok,
+	} {
+		*target = new(expvar.Int)
+		m.all.Set(name, *target)
+	}
+	m.all.Set("calls_failed", m.outcomes)
+	m.all.Set("gate_refusals", m.gateRefusals)
+	return m
+}
+
+// answered counts the result that a caller or the local service saw.
+func (m *metrics) answered(f *chain.Failure) {
+	if f == nil {
+		m.ok.Add(1)
+		return
+	}
+	m.outcomes.Add(f.Outcome.String()+"/"+string(f.Reason), 1)
+}
+
+func (m *metrics) refused(f *chain.Failure) { m.gateRefusals.Add(string(f.Reason), 1) }
+
+// gauges adds values that are computed when they are read.
+func (d *Daemon) gauges() {
+	add := func(name string, f func() any) { d.metrics.all.Set(name, expvar.Func(f)) }
+	add("decisions_dropped", func() any { return d.decisions.Dropped() })
+	add("configuration_version", func() any {
+		if c := d.snapshot.Load(); c != nil {
+			return c.source.Version
+		}
+		return 0
+	})
+	add("state", func() any { return stateName(d.State()) })
+	add("gate", func() any {
+		g := d.gate.Load()
+		if g == nil {
+			return nil
+		}
+		r := g.report()
+		return map[string]int{"level": int(r.Level), "limit": r.Limit, "in_flight": r.InFlight, "queued": r.Queued}
+	})
+}
+
+// serveVars writes the process-wide variables and those of this daemon, which
+// are not published globally because a process may run several daemons.
+func (d *Daemon) serveVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = io.WriteString(w, "{\n") // the reader has left if this fails
+	expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, "%q: %s,\n", kv.Key, kv.Value) })
+	_, _ = fmt.Fprintf(w, "\"bilberrydeck\": %s\n}\n", d.metrics.all.String())
+}
--- /dev/null
+++ b/daemon/path_test.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+)
+
+// TestWholePath guards the path caller, entrance, peer, gate, handler, exit,
+// next daemon, handler, and back.
+func TestWholePath(t *testing.T) {
+	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Empty(t, r.Header.Get(headerPeerAllowance))
+		_, _ = io.WriteString(w, "deep:"+r.URL.Path+"?"+r.URL.RawQuery)
+	}))
+	var front *node
+	front = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		resp, err := callBelow(r.Context(), front, r.Header.Get(headerChain), "GET", "/deep/item/7?x=1")
+		if err != nil {
+			w.WriteHeader(500)
+			return
+		}
+		below, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		w.Header().Set("X-Front", "yes")
+		w.WriteHeader(201)
+		_, _ = io.WriteString(w, string(body)+" "+string(below))
+	}))
+	caller := startNode(t, nodeConfig("edge-1", ""), nil)
+	connect(t, []declaration.Service{
+		testService("front", testRoute("order", "POST", "/orders", false)),
+		testService("deep", testRoute("item", "GET", "/item/{id}", true)),
+	}, deep, front, caller)
+	waitServing(t, deep, front, caller)
+
+	resp := caller.ask("POST", "/front/orders", strings.NewReader("two posters"), headerRequestID, "req-1")
+	require.Equal(t, "two posters deep:/item/7?x=1", readAll(t, resp))
+	require.Equal(t, 201, resp.StatusCode)
+	require.Equal(t, "yes", resp.Header.Get("X-Front"))
+	require.Equal(t, "ok", resp.Header.Get(headerOutcome))
+	require.Equal(t, "req-1", resp.Header.Get(headerRequestID))
+	require.Empty(t, resp.Header.Get(headerPeerReport), "headers between daemons must not reach callers")
+	require.EqualValues(t, 1, front.d.metrics.exit.Value())
+}
+
+// TestEntranceRefusals guards the typed errors for requests that no attempt is
+// made for.
+func TestEntranceRefusals(t *testing.T) {
+	n := startNode(t, nodeConfig("a-1", "a"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		t.Error("a refused request reached the handler")
+	}))
+	requireRefusal(t, n.ask("GET", "/a/x", nil), 503, chain.NotRun, chain.ReasonUnconfirmed)
+	route := testRoute("x", "POST", "/x", false)
+	route.MaxBody = 4
+	connect(t, []declaration.Service{testService("a", route)}, n)
+	for _, tc := range []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		reason                   chain.Reason
+	}{
+		{"unknown service", "POST", "/b/x", "", nil, 404, chain.ReasonUnknownRoute},
+		{"unknown path", "POST", "/a/y", "", nil, 404, chain.ReasonUnknownRoute},
+		{"unknown method", "GET", "/a/x", "", nil, 404, chain.ReasonUnknownRoute},
+		{"no path", "POST", "/a", "", nil, 404, chain.ReasonUnknownRoute},
+		{"unclean path", "POST", "/a//x", "", nil, 404, chain.ReasonUnknownRoute},
+		{"forged chain", "POST", "/a/x", "", []string{headerChain, strings.Repeat("ab", handleBytes)}, 400, chain.ReasonForgedChain},
+		{"absurd deadline", "POST", "/a/x", "", []string{headerDeadline, "600001"}, 400, chain.ReasonBadRequest},
+		{"no deadline", "POST", "/a/x", "", []string{headerDeadline, "0"}, 400, chain.ReasonBadRequest},
+		{"bad class", "POST", "/a/x", "", []string{headerClass, "royal"}, 400, chain.ReasonBadRequest},
+		{"bad id", "POST", "/a/x", "", []string{headerRequestID, "a b"}, 400, chain.ReasonBadRequest},
+		{"key of version 4", "POST", "/a/x", "", []string{headerKey, "b2f7e5f0-0f8c-4c51-9d0e-0d9b5d3c1a11"}, 400, chain.ReasonBadRequest},
+		{"large body", "POST", "/a/x", "12345", nil, 413, chain.ReasonTooLarge},
+		{"oversized headers", "POST", "/a/x", "", []string{"X-Large", strings.Repeat("x", maxHeaderBytes)}, 400, chain.ReasonBadRequest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			resp := n.ask(tc.method, tc.path, strings.NewReader(tc.body), tc.headers...)
+			requireRefusal(t, resp, tc.status, chain.NotRun, tc.reason)
+		})
+	}
+}
+
+// TestForgedChainHandle guards against calls that use the deadline, priority or
+// allowance of a request that they do not belong to.
+func TestForgedChainHandle(t *testing.T) {
+	var n *node
+	handle := make(chan string, 1)
+	n = startNode(t, nodeConfig("a-1", "a"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		handle <- r.Header.Get(headerChain)
+	}))
+	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n)
+	require.Equal(t, 200, n.ask("GET", "/a/x", nil).StatusCode)
+	for _, tc := range []struct {
+		handle string
+		status int
+		reason chain.Reason
+	}{
+		{"guess", 400, chain.ReasonForgedChain},
+		{strings.Repeat("00", handleBytes), 503, chain.ReasonParentEnded},
+		{<-handle, 503, chain.ReasonParentEnded},
+	} {
+		resp, err := callBelow(t.Context(), n, tc.handle, "GET", "/a/x")
+		require.NoError(t, err)
+		requireRefusal(t, resp, tc.status, chain.NotRun, tc.reason)
+	}
+}
--- /dev/null
+++ b/daemon/send.go
@@ -0,0 +1,174 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// maxRedials bounds how often one attempt is moved to another connection
+// because the pooled one had been closed by the peer before a byte was
+// written. Nothing was sent, so such a move is not a retry.
+const maxRedials = 3
+
+// outgoing is one request to another process.
+type outgoing struct {
+	transport *http.Transport
+	method    string
+	url       *url.URL
+	host      string
+	header    http.Header
+	body      *body
+	expect    bool // wait for "100 Continue" before a streamed body is sent
+}
+
+// sent tracks the connection of one attempt.
+type sent struct {
+	conn   *countingConn
+	before int64
+	reused bool
+}
+
+func (s *sent) gotConn(info httptrace.GotConnInfo) {
+	s.conn, _ = info.Conn.(*countingConn)
+	s.reused = info.Reused
+	if s.conn != nil {
+		s.before = s.conn.Written()
+	}
+}
+
+// abandon closes the connection and returns the bytes that this attempt wrote.
+func (s *sent) abandon() int64 {
+	if s.conn == nil {
+		return 0
+	}
+	return s.conn.Abandon() - s.before
+}
+
+// send runs one attempt up to the headers of the answer.
+func (o *outgoing) send(ctx context.Context) (*http.Response, *sent, *chain.Failure) {
+	for redial := 0; ; redial++ {
+		s := &sent{}
+		resp, err := o.transport.RoundTrip(o.request(ctx, s))
+		if err == nil {
+			return resp, s, nil
+		}
+		written := s.abandon()
+		again := written == 0 && s.reused && redial < maxRedials && ctx.Err() == nil && o.body.resendable()
+		if !again {
+			return nil, s, o.failure(ctx, written, err)
+		}
+	}
+}
+
+// request builds a request that net/http cannot send again by itself: its body
+// is never nil and has no GetBody.
+func (o *outgoing) request(ctx context.Context, s *sent) *http.Request {
+	r := &http.Request{
+		Method:        o.method,
+		URL:           o.url,
+		Host:          o.host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        o.header,
+		Body:          o.body.reader(),
+		ContentLength: o.body.length,
+	}
+	if o.expect && o.body.stream != nil {
+		r.Header["Expect"] = []string{"100-continue"}
+	}
+	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn}))
+}
+
+// failure types the error of an attempt. Not-run needs a count of zero bytes.
+func (o *outgoing) failure(ctx context.Context, written int64, err error) *chain.Failure {
+	outcome := chain.Unknown
+	if written == 0 {
+		outcome = chain.NotRun
+	}
+	if f := o.body.failure(); f != nil {
+		f.Outcome = outcome
+		return f
+	}
+	if ctx.Err() != nil {
+		return contextFailure(ctx, outcome, "no answer in time")
+	}
+	if written == 0 {
+		return chain.Wrap(outcome, chain.ReasonConnect, "no connection", err)
+	}
+	return chain.Wrap(outcome, chain.ReasonUpstreamError, "the connection broke before the answer", err)
+}
+
+// answer is the answer of another process. A small one is held whole, a large
+// one or one of unknown length is still to be copied.
+type answer struct {
+	status int
+	header http.Header
+	length int64 // of the body, -1 if unknown
+	whole  []byte
+	pooled *[]byte
+	resp   *http.Response // nil when the body is held whole
+	sent   *sent
+}
+
+// newAnswer reads a small answer whole. A truncated one is reported before
+// any of it has been passed on.
+func newAnswer(ctx context.Context, resp *http.Response, s *sent) (*answer, *chain.Failure) {
+	a := &answer{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, resp: resp, sent: s}
+	if a.length < 0 || a.length > smallBody {
+		return a, nil
+	}
+	a.pooled = copyBuffers.Get().(*[]byte)
+	a.whole = (*a.pooled)[:a.length]
+	_, err := io.ReadFull(resp.Body, a.whole)
+	if err != nil {
+		failure := truncated(ctx, err)
+		a.discard()
+		return nil, failure
+	}
+	_ = resp.Body.Close() // the body was read to its announced end
+	a.resp = nil
+	return a, nil
+}
+
+// truncated types the error of reading an answer.
+func truncated(ctx context.Context, err error) *chain.Failure {
+	if ctx.Err() != nil {
+		return contextFailure(ctx, chain.Unknown, "the answer was not complete in time")
+	}
+	return chain.Wrap(chain.Unknown, chain.ReasonTruncated, "the answer ended early", err)
+}
+
+// discard gives up an answer. A connection with an unread rest is closed.
+func (a *answer) discard() {
+	if a.resp != nil {
+		a.sent.abandon()
+		_ = a.resp.Body.Close() // the connection is closed already
+		a.resp = nil
+	}
+	a.release()
+}
+
+// release returns the buffer of a small answer.
+func (a *answer) release() {
+	if a.pooled != nil {
+		copyBuffers.Put(a.pooled)
+		a.pooled, a.whole = nil, nil
+	}
+}
+
+// trailer returns a trailer, or the header of that name for an answer that was
+// held whole.
+func (a *answer) trailer(name string) string {
+	if a.resp != nil {
+		if v := a.resp.Trailer.Get(name); v != "" {
+			return v
+		}
+	}
+	return a.header.Get(name)
+}
--- /dev/null
+++ b/daemon/state.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+)
+
+// failedPolls is the number of health polls that fail in a row before the
+// upstream counts as not serving. One lost poll says little: health endpoints
+// lag.
+const failedPolls = 3
+
+// State is the state that this daemon announces of its upstream.
+func (d *Daemon) State() api.UpstreamState { return api.UpstreamState(d.state.Load()) }
+
+func stateName(s api.UpstreamState) string {
+	switch s {
+	case api.UpstreamState_UPSTREAM_STATE_SERVING:
+		return "serving"
+	case api.UpstreamState_UPSTREAM_STATE_DRAINING:
+		return "draining"
+	case api.UpstreamState_UPSTREAM_STATE_GONE:
+		return "gone"
+	}
+	return "starting"
+}
+
+// Announcement is what the feed client tells the relays of this daemon. ok is
+// false for a daemon without an upstream. The sequence grows with each change.
+func (d *Daemon) Announcement() (a *api.Announcement, ok bool) {
+	if d.cfg.Service == "" {
+		return nil, false
+	}
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	a = &api.Announcement{
+		Id: d.cfg.ID, Boot: d.cfg.Boot, Sequence: d.stateSequence, Service: d.cfg.Service, Region: d.cfg.Region,
+		AvailabilityZone: d.cfg.AvailabilityZone, PeerAddress: d.peerAddress(), State: d.State(),
+	}
+	if g := d.gate.Load(); g != nil {
+		a.Slots = uint32(g.slots)
+	}
+	if a.State == api.UpstreamState_UPSTREAM_STATE_SERVING {
+		a.UpMs = d.cfg.Now().Sub(d.servingSince).Milliseconds()
+	}
+	return a, true
+}
+
+// updateState derives the state from its parts. Health can only lower it.
+func (d *Daemon) updateState() {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	next := d.derivedState()
+	if next == d.State() {
+		return
+	}
+	if next == api.UpstreamState_UPSTREAM_STATE_SERVING {
+		d.servingSince = d.cfg.Now()
+	}
+	d.stateSequence++
+	d.state.Store(int32(next))
+	d.log.Info().Str("state", stateName(next)).Str("service", d.cfg.Service).Msg("state changed")
+}
+
+func (d *Daemon) derivedState() api.UpstreamState {
+	if d.gone.Load() {
+		return api.UpstreamState_UPSTREAM_STATE_GONE
+	}
+	if d.draining.Load() {
+		return api.UpstreamState_UPSTREAM_STATE_DRAINING
+	}
+	c := d.snapshot.Load()
+	if c == nil || !c.source.Confirmed {
+		return api.UpstreamState_UPSTREAM_STATE_STARTING
+	}
+	if d.cfg.Service == "" {
+		return api.UpstreamState_UPSTREAM_STATE_SERVING
+	}
+	if d.gate.Load() == nil || d.local.Load() == nil || d.unhealthy.Load() {
+		return api.UpstreamState_UPSTREAM_STATE_STARTING
+	}
+	return api.UpstreamState_UPSTREAM_STATE_SERVING
+}
+
+// setGate creates the gate of the local service, or replaces it when the
+// declared slots have changed. Requests at the old gate finish there.
+func (d *Daemon) setGate(next *compiled) {
+	svc := next.services[d.cfg.Service]
+	if svc == nil {
+		return // a service that was removed keeps its gate for what is in flight
+	}
+	d.setLocalCap(svc.declared.MaxConnections)
+	if g := d.gate.Load(); g != nil && g.slots == svc.declared.Slots {
+		return
+	}
+	g := newGate(d.cfg.Now, admit.New(admit.Config{
+		Slots: svc.declared.Slots, MaxQueue: d.cfg.QueuePerSlot * svc.declared.Slots,
+	}), svc.declared.Slots)
+	if d.draining.Load() {
+		g.drain()
+	}
+	d.gate.Store(g)
+	go g.tick(d.killed)
+}
+
+// setLocal puts the address of the local service in force.
+func (d *Daemon) setLocal(address string) {
+	d.localMu.Lock()
+	defer d.localMu.Unlock()
+	if old := d.local.Load(); old != nil && old.address == address {
+		return
+	}
+	d.local.Store(&localService{address: address, transport: newTransport(nil, d.localCap)})
+}
+
+func (d *Daemon) setLocalCap(maxConnections int) {
+	d.localMu.Lock()
+	defer d.localMu.Unlock()
+	if d.localCap == maxConnections {
+		return
+	}
+	d.localCap = maxConnections
+	if old := d.local.Load(); old != nil {
+		d.local.Store(&localService{address: old.address, transport: newTransport(nil, maxConnections)})
+		old.transport.CloseIdleConnections()
+	}
+}
+
+// watchHealth polls the upstream until ctx ends. Without a health URL it only
+// waits for the configured upstream to accept a connection for the first time.
+func (d *Daemon) watchHealth(ctx context.Context) {
+	ticker := time.NewTicker(d.cfg.HealthEvery)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		if d.poll(ctx) {
+			failures = 0
+		} else {
+			failures++
+		}
+		d.unhealthy.Store(failures >= failedPolls || failures > 0 && d.unhealthy.Load())
+		d.updateState()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// poll reports whether the upstream looks usable.
+func (d *Daemon) poll(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.HealthEvery)
+	defer cancel()
+	if d.cfg.HealthURL == "" {
+		return d.pollConnect(ctx)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, d.cfg.HealthURL, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := d.healthClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // only the status matters
+	return resp.StatusCode < http.StatusMultipleChoices
+}
+
+func (d *Daemon) pollConnect(ctx context.Context) bool {
+	local := d.local.Load()
+	if local == nil {
+		return true // nothing to lower
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", local.address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // opened only to see whether it can be
+	return true
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,59 @@
+// Package logging writes key=value lines with phuslu/log and keeps the
+// decision log, which never blocks the request path.
+package logging
+
+import (
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/phuslu/log"
+)
+
+// Logger is the logger that all bindings take.
+type Logger = log.Logger
+
+// New returns a logger that writes one key=value line per event to w. It is
+// safe for concurrent use if w is.
+func New(w io.Writer) *Logger {
+	return &log.Logger{
+		Level:      log.InfoLevel,
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.ConsoleWriter{Formatter: writeKeyValues, Writer: w},
+	}
+}
+
+// writeKeyValues formats one event. The library's own logfmt formatter leaves
+// the message without a key.
+func writeKeyValues(w io.Writer, args *log.FormatterArgs) (int, error) {
+	buf := make([]byte, 0, 256)
+	buf = appendPair(buf, "time", args.Time)
+	buf = appendPair(buf, "level", args.Level)
+	if args.Message != "" {
+		buf = appendPair(buf, "msg", args.Message)
+	}
+	for _, kv := range args.KeyValues {
+		buf = appendPair(buf, kv.Key, kv.Value)
+	}
+	buf[len(buf)-1] = '\n'
+	return w.Write(buf)
+}
+
+func appendPair(buf []byte, key, value string) []byte {
+	buf = append(buf, key...)
+	buf = append(buf, '=')
+	if needsQuotes(value) {
+		buf = strconv.AppendQuote(buf, value)
+	} else {
+		buf = append(buf, value...)
+	}
+	return append(buf, ' ')
+}
+
+// needsQuotes reports whether a value would break the key=value form. Callers
+// choose request ids and paths, so control characters must not start a line.
+func needsQuotes(value string) bool {
+	return value == "" || strings.ContainsFunc(value, func(r rune) bool {
+		return r <= ' ' || r == '"' || r == '=' || r == 0x7f || r > 0x7f
+	})
+}
