core/balance, core/admit: slowness of a whole service is no fault of one upstream

Cause: in an overload all upstreams of a service miss deadlines, and the balancer ejected a third of them; the gate lowered its limit as soon as half of its requests missed their deadlines; requests cancelled by callers and uploads over slow links counted as samples of the upstream. Change: when more upstreams miss deadlines than may be ejected, none is ejected for it and such ejections end. The limit decreases for failures only if nine of ten requests fail. Result.Cancelled marks requests whose caller left; uploads are no samples of the service time.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -55,6 +55,8 @@
 type Result struct {
 	Own time.Duration // service time without the waits on calls below; 0 if unknown
 	OK  bool          // false if the upstream failed or did not answer in time
+	// Cancelled tells that the caller left, which says nothing of the upstream.
+	Cancelled bool
 }
 
 // ActionKind tells what to do with a request.
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -90,7 +90,7 @@
 	if e.req.Stream {
 		g.uploads--
 	}
-	e.route.observe(now.Sub(e.started), r.OK)
+	e.route.observe(now.Sub(e.started), r.OK && !r.Cancelled)
 	g.limiter.end(now, e, r)
 	g.forget(e)
 	return g.dispatch(now, nil)
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -44,8 +44,10 @@
 	// minPenalty is the smallest part of the limit that an upstream keeps whose
 	// requests fail, so that it can show that it has recovered.
 	minPenalty = 0.5
-	// failShare is the part of failed requests above which the limit decreases.
-	failShare = 0.5
+	// failShare is the part of failed requests above which the limit decreases. An
+	// overloaded upstream misses many deadlines, and a lower limit would then cost
+	// throughput; one that is hung or dead fails nearly all.
+	failShare = 0.9
 )
 
 // phases of a round. The order low, high, high, low cancels a linear drift of
@@ -154,12 +156,16 @@
 	}
 }
 
-// mark makes the request a sample of the current probe.
+// mark makes the request a sample of the current probe. Uploads count for the
+// throughput only: their duration depends on the link of the customer.
 func (p *probeLimiter) mark(now time.Time, e *entry) {
 	if p.phase == phaseLow && p.starts == 1 {
 		p.began = now
 	}
 	p.count++
+	if e.req.Stream {
+		return
+	}
 	p.open++
 	e.round = p.round
 	e.high = p.phase == phaseHigh || p.phase == phaseHighAgain
@@ -182,11 +188,16 @@
 }
 
 func (p *probeLimiter) end(now time.Time, e *entry, r Result) {
-	p.adjustPenalty(r.OK)
+	if !r.Cancelled {
+		p.adjustPenalty(r.OK)
+	}
 	if e.round != p.round {
 		return
 	}
 	p.open--
+	if r.Cancelled {
+		return
+	}
 	s := &p.low
 	if e.high {
 		s = &p.high
--- a/core/admit/limit_test.go
+++ b/core/admit/limit_test.go
@@ -143,10 +143,16 @@
 }
 
 // TestLimitOfFailingUpstream guards against a limit that never returns after
-// the requests of an upstream have failed.
+// the requests of an upstream have failed, and against one that halves the
+// throughput of an upstream which misses deadlines under overload.
 func TestLimitOfFailingUpstream(t *testing.T) {
 	p := newProbeLimiter(Config{Slots: 20}.withDefaults())
 	start := p.current()
+	for i := range 200 {
+		p.end(simEpoch, &entry{}, Result{Cancelled: true})
+		p.end(simEpoch, &entry{}, Result{OK: i%5 == 0})
+	}
+	require.Equal(t, start, p.current(), "missed deadlines under overload")
 	for range 200 {
 		p.end(simEpoch, &entry{}, Result{})
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -228,6 +228,29 @@
 	require.Greater(t, share(b, epoch.Add(30*time.Second), answer)["near0"], 0.2)
 }
 
+// TestCommonSlownessEjectsNone guards against losing a third of the capacity
+// when a whole service misses deadlines in an overload.
+func TestCommonSlownessEjectsNone(t *testing.T) {
+	timeout := Result{Latency: time.Second, Outcome: chain.Unknown, Reason: chain.ReasonDeadline}
+	count := func(failing int, r Result) int {
+		b := balancer(nil, service(2))
+		for range 20 {
+			for _, m := range b.members[:failing] {
+				m.inFlight++
+				b.Done(epoch, Choice{member: m}, r)
+			}
+		}
+		var earliest *member
+		ejected, _ := b.countEjected(epoch, &earliest)
+		return ejected
+	}
+	require.Equal(t, 1, count(1, timeout))
+	require.Equal(t, 2, count(2, timeout))
+	require.Equal(t, 0, count(3, timeout))
+	require.Equal(t, 0, count(6, timeout))
+	require.Equal(t, 2, count(6, broken), "broken connections are no slowness")
+}
+
 // TestSlowStart guards against full load on an upstream that has just started.
 func TestSlowStart(t *testing.T) {
 	b := balancer(nil, service(2))
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -21,7 +21,8 @@
 
 	failures     int // consecutive
 	failedAt     time.Time
-	ejections    int // consecutive, for the exponential time
+	timedOut     bool // the last failure was a missed deadline
+	ejections    int  // consecutive, for the exponential time
 	ejectedUntil time.Time
 	draining     bool // refused with the reason draining since the last announcement
 
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -176,6 +176,7 @@
 	case isFault(r):
 		m.failures++
 		m.failedAt = now
+		m.timedOut = r.Reason == chain.ReasonDeadline
 		if b.usual > 0 && latency > max(m.latency, b.usual) { // a fast failure must not look like a fast upstream
 			m.observeLatency(now, latency, b.cfg.LatencyTimeConst)
 		}
@@ -202,21 +203,50 @@
 	return true
 }
 
+// maybeEject ejects a member after too many failures within the bounds.
 func (b *Balancer) maybeEject(now time.Time, m *member) {
 	if m.failures < b.cfg.EjectAfter || m.ejected(now) || b.byID[m.up.ID] != m {
 		return
 	}
+	if m.timedOut && b.commonSlowness(now) {
+		return
+	}
 	var earliest *member
 	ejected, usable := b.countEjected(now, &earliest)
 	if ejected+1 > maxEjected(len(b.members)) || usable <= 1 {
 		return
 	}
+	m.ejectedUntil = now.Add(b.ejectTime(m))
+	m.ejections++
+	m.since = m.ejectedUntil // slow start after the return
+}
+
+// commonSlowness reports whether more upstreams miss deadlines than may be
+// ejected, and then ends their ejections: the service as a whole is slow, and
+// without a third of its upstreams it would be slower.
+func (b *Balancer) commonSlowness(now time.Time) bool {
+	slow := 0
+	for _, m := range b.members {
+		if m.timedOut && m.failures >= b.cfg.EjectAfter {
+			slow++
+		}
+	}
+	if slow <= maxEjected(len(b.members)) {
+		return false
+	}
+	for _, m := range b.members {
+		if m.timedOut && m.ejected(now) {
+			m.ejectedUntil = now
+			m.since = now.Add(-b.cfg.SlowStart) // it was not the upstream, so no slow start
+		}
+	}
+	return true
+}
+
+func (b *Balancer) ejectTime(m *member) time.Duration {
 	d := b.cfg.EjectTime << min(m.ejections, 16)
 	if d > b.cfg.MaxEjectTime || d <= 0 {
 		d = b.cfg.MaxEjectTime
 	}
-	d += time.Duration(b.rng.Int64N(int64(d)/4 + 1)) // daemons must not return together
-	m.ejections++
-	m.ejectedUntil = now.Add(d)
-	m.since = m.ejectedUntil // slow start after the return
+	return d + time.Duration(b.rng.Int64N(int64(d)/4+1)) // daemons must not return together
 }
