core/retry: hold-off keeps the class order within an address

Cause: the buckets of the classes were independent, so bookings of an address could be held off for up to a second after an overload while its lookups went on. Change: one entry per address with a bucket for each class; a class is held off only if no lower class of the address was admitted within the last second. Conclusion: hold-off refuses lower classes of an address first.

--- a/core/retry/holdoff.go
+++ b/core/retry/holdoff.go
@@ -23,36 +23,42 @@
 	return c
 }
 
-type holdKey struct {
-	address string
-	class   chain.Class
+const numClasses = int(chain.Critical) + 1
+
+// orderInterval is how long an admitted call of a lower class keeps the higher
+// classes of the same address from being held off.
+const orderInterval = time.Second
+
+type holdBucket struct {
+	tokens  float64
+	at      time.Time // of the last refill
+	allowed time.Time // of the last call that went on
 }
 
 type holdEntry struct {
-	key    holdKey
-	tokens float64
-	at     time.Time
-	prev   *holdEntry // towards the most recently refused
-	next   *holdEntry
+	address string
+	buckets [numClasses]holdBucket
+	prev    *holdEntry // towards the most recently refused
+	next    *holdEntry
 }
 
 // HoldOff limits callers that go on after refusals. Each refusal takes a token
 // from the bucket of its address and class; time and admitted calls refill it.
 // An address behind which many customers sit therefore keeps its admitted
-// calls, and an equal number of refused ones, however fast it retries. The
-// classes have separate buckets, so that refused checks never hold off a
-// booking from the same address.
+// calls, and an equal number of refused ones, however fast it retries. Refused
+// checks never hold off a booking, and no class of an address is held off while
+// a lower one of it is admitted.
 type HoldOff struct {
 	mu      sync.Mutex
 	cfg     HoldOffConfig
-	entries map[holdKey]*holdEntry
+	entries map[string]*holdEntry
 	newest  *holdEntry
 	oldest  *holdEntry
 }
 
 // NewHoldOff builds a HoldOff that knows no address.
 func NewHoldOff(cfg HoldOffConfig) *HoldOff {
-	return &HoldOff{cfg: cfg.withDefaults(), entries: make(map[holdKey]*holdEntry)}
+	return &HoldOff{cfg: cfg.withDefaults(), entries: make(map[string]*holdEntry)}
 }
 
 // Allow is AllowClass for the default class.
@@ -70,51 +76,67 @@
 func (h *HoldOff) AllowClass(now time.Time, address string, class chain.Class) (ok bool, retryAfter time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e := h.entries[holdKey{address, class}]
+	e := h.entries[address]
 	if e == nil {
 		return true, 0
 	}
-	h.refill(now, e)
-	if e.tokens >= 0 {
-		// Paid in advance; OnRefusalClass takes it back with the token.
-		e.tokens = min(h.cfg.Burst, e.tokens+h.cfg.Credit)
-		return true, 0
+	class = min(class, chain.Critical)
+	b := &e.buckets[class]
+	h.refill(now, b)
+	if b.tokens < 0 && !e.lowerAllowed(now, class) {
+		wait := time.Duration(-b.tokens / h.cfg.Rate * float64(time.Second))
+		return false, max(wait, time.Millisecond)
 	}
-	wait := -e.tokens / h.cfg.Rate
-	return false, max(time.Duration(wait*float64(time.Second)), time.Millisecond)
+	b.allowed = now
+	// Paid in advance; OnRefusalClass takes it back with the token.
+	b.tokens = min(h.cfg.Burst, b.tokens+h.cfg.Credit)
+	return true, 0
+}
+
+// lowerAllowed reports whether a call of a lower class went on just before.
+func (e *holdEntry) lowerAllowed(now time.Time, class chain.Class) bool {
+	for _, b := range e.buckets[:class] {
+		if !b.allowed.IsZero() && now.Sub(b.allowed) < orderInterval {
+			return true
+		}
+	}
+	return false
 }
 
 // OnRefusalClass records that a call from the address was refused under load.
 func (h *HoldOff) OnRefusalClass(now time.Time, address string, class chain.Class) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	key := holdKey{address, class}
-	e := h.entries[key]
+	e := h.entries[address]
 	if e == nil {
-		e = h.add(now, key)
-	} else {
-		h.refill(now, e)
+		e = h.add(now, address)
+	} else if e != h.newest {
 		h.unlink(e)
 		h.pushNewest(e)
 	}
-	e.tokens = max(e.tokens-1-h.cfg.Credit, -h.cfg.Rate)
+	b := &e.buckets[min(class, chain.Critical)]
+	h.refill(now, b)
+	b.tokens = max(b.tokens-1-h.cfg.Credit, -h.cfg.Rate) // at most one second of hold
 }
 
-func (h *HoldOff) add(now time.Time, key holdKey) *holdEntry {
+func (h *HoldOff) add(now time.Time, address string) *holdEntry {
 	if len(h.entries) >= h.cfg.MaxAddresses {
-		delete(h.entries, h.oldest.key)
+		delete(h.entries, h.oldest.address)
 		h.unlink(h.oldest)
 	}
-	e := &holdEntry{key: key, tokens: h.cfg.Burst, at: now}
-	h.entries[key] = e
+	e := &holdEntry{address: address}
+	for i := range e.buckets {
+		e.buckets[i] = holdBucket{tokens: h.cfg.Burst, at: now}
+	}
+	h.entries[address] = e
 	h.pushNewest(e)
 	return e
 }
 
-func (h *HoldOff) refill(now time.Time, e *holdEntry) {
-	if dt := now.Sub(e.at).Seconds(); dt > 0 {
-		e.tokens = min(h.cfg.Burst, e.tokens+dt*h.cfg.Rate)
-		e.at = now
+func (h *HoldOff) refill(now time.Time, b *holdBucket) {
+	if dt := now.Sub(b.at).Seconds(); dt > 0 {
+		b.tokens = min(h.cfg.Burst, b.tokens+dt*h.cfg.Rate)
+		b.at = now
 	}
 }
 
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -125,14 +125,15 @@
 	h := NewHoldOff(HoldOffConfig{})
 	require.Equal(t, 1000, passed(h, "polite", epoch, 10, 100, 100))
 	require.Equal(t, 1000, passed(h, "small", epoch, 10, 100, 60), "some refusals are no abuse")
-	require.NotContains(t, h.entries, holdKey{"polite", chain.Default}, "never refused, not stored")
+	require.NotContains(t, h.entries, "polite", "never refused, not stored")
 	allowed := passed(h, "impatient", epoch, 10, 2000, 100)
 	require.Less(t, allowed, 10*(2*100+50)+2*200, "twice the admitted calls, the rate and the burst")
 	require.GreaterOrEqual(t, allowed, 1000)
 	require.Equal(t, 100, passed(h, "impatient", epoch.Add(15*time.Second), 1, 100, 100))
 }
 
-// TestHoldOffClasses guards against refused checks that hold off bookings.
+// TestHoldOffClasses guards against refused checks that hold off bookings, and
+// against bookings that are held off while lookups go on.
 func TestHoldOffClasses(t *testing.T) {
 	h := NewHoldOff(HoldOffConfig{})
 	for range 1000 {
@@ -143,6 +144,15 @@
 	require.LessOrEqual(t, after, 2*time.Second)
 	ok, _ := h.AllowClass(epoch, "a", chain.Critical)
 	require.True(t, ok)
+	for range 1000 {
+		h.OnRefusalClass(epoch, "a", chain.Critical)
+	}
+	ok, _ = h.AllowClass(epoch, "a", chain.Critical)
+	require.False(t, ok)
+	ok, _ = h.AllowClass(epoch, "a", chain.Default)
+	require.True(t, ok)
+	ok, _ = h.AllowClass(epoch, "a", chain.Critical)
+	require.True(t, ok, "a lower class goes on")
 }
 
 // TestHoldOffMemory guards against a table that grows with the number of
@@ -153,10 +163,10 @@
 		address := fmt.Sprint(rapid.IntRange(0, 40).Draw(t, "address"))
 		h.OnRefusal(epoch, address)
 		require.LessOrEqual(t, len(h.entries), 10)
-		require.Equal(t, address, h.newest.key.address)
+		require.Equal(t, address, h.newest.address)
 		n := 0
 		for e := h.newest; e != nil; e = e.next {
-			require.Same(t, e, h.entries[e.key])
+			require.Same(t, e, h.entries[e.address])
 			n++
 		}
 		require.Len(t, h.entries, n)
