docs: decisions of the request path, with the figures of the limit algorithms

Cause: the design page left the limit algorithm, the steps of the level and several bounds open. Measured: go test -run - -bench Limiters -benchtime 1x ./core/admit gives the table.

--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -75,6 +75,12 @@
 // The slope compares two probes of the same moment. A service that becomes
 // slower at the same number of slots therefore keeps its limit, unlike with
 // a latency gradient, which compares with the latency of former times.
+//
+// Measured against a latency gradient and hill climbing on throughput in
+// BenchmarkLimiters: under a fivefold slowdown with three times the demand it
+// keeps 94 to 96% of the goodput (gradient 89 to 92%, hill climbing 27 to 52%),
+// and it finds 12 real slots behind 35 declared ones, where the gradient ends
+// at its upper bound. docs/design.md has the table.
 type probeLimiter struct {
 	center   float64
 	min, max float64
