core/admit, core/balance: early refusal that follows the gates below

Reports from rarely called upstreams lost their weight by age and lowered the combined level; gates behind entrances that refuse early saw no arrivals below their level and opened at once; retries went to upstreams that were known to refuse. A fall counts an unseen priority like the average one above the level. A retry needs an upstream with room. Conclusion: refusals move from the deepest service to the entrance.

--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -224,6 +225,24 @@
 	require.Equal(t, Run, kind)
 }
 
+// TestFallBelowEmptyHistogram guards against a level that falls to the bottom
+// within one period because entrances refuse early and the gate sees no arrivals
+// below its level.
+func TestFallBelowEmptyHistogram(t *testing.T) {
+	l := level{current: chain.MaxPriority - 20}
+	for range 10 {
+		l.arrive(chain.MaxPriority - 1)
+	}
+	l.use(time.Second, 1, 10)
+	l.adapt(20*time.Millisecond, 0)
+	require.Equal(t, chain.MaxPriority-40, l.current)
+	for range 6 {
+		l.use(time.Second, 0, 10)
+		l.adapt(20*time.Millisecond, 0)
+	}
+	require.Zero(t, l.current, "an idle gate is open within a second")
+}
+
 // TestLevels guards against an entrance that refuses because of one upstream,
 // or because of a report that has become old.
 func TestLevels(t *testing.T) {
@@ -239,6 +258,13 @@
 	l.Report(now, "r", "b", Report{Below: high})
 	require.False(t, l.Admits(now, "r", high-1), "refused further down")
 	require.True(t, l.Admits(now.Add(LevelExpiry), "r", 0), "old reports have no weight")
+	for i := range 5 {
+		l.Report(now, "s", fmt.Sprint("rarely called ", i), Report{Level: high})
+	}
+	now = now.Add(LevelExpiry - time.Millisecond)
+	l.Report(now, "s", "near", Report{Level: high})
+	require.False(t, l.Admits(now, "s", high-1), "reports that have become old do not outvote a fresh one")
+	require.True(t, l.Admits(now.Add(time.Second), "s", high-1), "a report loses weight with its age")
 	rapid.Check(t, func(t *rapid.T) {
 		level := chain.Priority(rapid.IntRange(0, int(chain.MaxPriority)).Draw(t, "level"))
 		a := time.Duration(rapid.Int64Range(0, int64(2*LevelExpiry)).Draw(t, "age"))
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -94,20 +94,24 @@
 	}
 }
 
-// fall admits fallStep more, or what the idle capacity can serve.
+// fall admits fallStep more, or what the idle capacity can serve. Below the
+// level, a priority counts at least as much as the average one above: where
+// entrances refuse early, the gate does not see what waits there, and would
+// fall through the empty part of the histogram at once.
 func (l *level) fall() {
 	part := float32(fallStep)
 	if l.capacity > 0 {
 		used := max(float32(l.busy)/float32(l.capacity), 0.01)
 		part = max(part, min(1/used-1, maxFallStep))
 	}
-	want := part * l.aboveLevel()
-	for l.current > 0 {
+	width := float32(chain.MaxPriority - l.current)
+	density := l.aboveLevel() / width
+	if density == 0 {
+		density = 1
+	}
+	for want := part * density * width; l.current > 0 && want > 0; {
 		l.current--
-		want -= l.histogram[l.current]
-		if want <= 0 && l.histogram[l.current] > 0 {
-			return
-		}
+		want -= max(l.histogram[l.current], density)
 	}
 }
 
--- a/core/admit/levels.go
+++ b/core/admit/levels.go
@@ -23,8 +23,8 @@
 	refreshInterval = 10 * time.Millisecond
 )
 
-// AgedLevel reduces a reported level by its age. The reduction is gradual, so
-// that a few requests probe a gate before many do.
+// AgedLevel reduces a reported level by its age, slowly at first, so that a few
+// requests probe a gate before many do.
 func AgedLevel(level chain.Priority, age time.Duration) chain.Priority {
 	if age <= levelHold {
 		return level
@@ -32,8 +32,8 @@
 	if age >= LevelExpiry {
 		return 0
 	}
-	left := float64(LevelExpiry-age) / float64(LevelExpiry-levelHold)
-	return chain.Priority(float64(level) * left)
+	lost := float64(age-levelHold) / float64(LevelExpiry-levelHold)
+	return chain.Priority(float64(level) * (1 - lost*lost))
 }
 
 type source struct {
@@ -139,21 +139,33 @@
 	})
 }
 
-// combine takes the lower quartile of the aged levels. The balancer prefers
-// upstreams with a low level, so the highest one would refuse work that another
-// upstream admits; the lowest one would let one outdated report admit all.
+// combine takes the median of the fresh levels: the highest one would refuse
+// work that another upstream admits, and the lowest one would admit work that
+// most of them refuse. Without a fresh report, the newest one counts by its age.
+// Older ones have no vote: upstreams that are rarely called would lower the
+// level by their age alone.
 func (r *routeLevels) combine(now time.Time) {
 	r.computed = now
 	r.dropExpired(now)
+	r.combined = 0
 	if len(r.sources) == 0 {
-		r.combined = 0
 		return
 	}
-	var aged [maxSources]chain.Priority
-	for i, s := range r.sources {
-		aged[i] = AgedLevel(s.level, now.Sub(s.at))
+	var buffer [maxSources]chain.Priority
+	fresh := buffer[:0]
+	newest := r.sources[0]
+	for _, s := range r.sources {
+		if now.Sub(s.at) <= levelHold {
+			fresh = append(fresh, s.level)
+		}
+		if s.at.After(newest.at) {
+			newest = s
+		}
+	}
+	if len(fresh) == 0 {
+		r.combined = AgedLevel(newest.level, now.Sub(newest.at))
+		return
 	}
-	levels := aged[:len(r.sources)]
-	slices.Sort(levels)
-	r.combined = levels[(len(levels)-1)/4]
+	slices.Sort(fresh)
+	r.combined = fresh[(len(fresh)-1)/2]
 }
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -15,6 +15,10 @@
 	if c, ok := b.pickWithRoom(now, r); ok {
 		return c, nil
 	}
+	if r.Retry {
+		// The first attempt was refused, and nobody else has room either.
+		return Choice{}, chain.NewFailure(chain.NotRun, chain.ReasonOverload, "no other upstream has room for a retry")
+	}
 	return b.pickAny(now, r)
 }
 
