core/admit: a rise of the level stops at each class

Cause: one rise could pass from a lower class into a higher one, so critical requests were refused although shedding all of the lower classes was enough. Change: a rise ends at the next class boundary, and the higher class is shed only after another period above the target. RetryAfter is exported for early refusals at entrances.

--- a/core/admit/dispatch.go
+++ b/core/admit/dispatch.go
@@ -237,12 +237,14 @@
 func refuse(r Request, f *chain.Failure) Action {
 	a := Action{Kind: Refuse, ID: r.ID, Failure: f}
 	if f.RetryableByCaller() {
-		a.RetryAfter = retryAfter(r)
+		a.RetryAfter = RetryAfter(r.Priority)
 	}
 	return a
 }
 
-// retryAfter spreads the callers that were refused together over two seconds.
-func retryAfter(r Request) time.Duration {
-	return time.Second + time.Duration(r.Priority%128)*time.Second/128
+// RetryAfter spreads the callers that were refused together over the second
+// after the next one. Entrances use it for early refusals.
+func RetryAfter(p chain.Priority) time.Duration {
+	sub := p - p.Class().MinPriority()
+	return time.Second + time.Duration(sub)*time.Second/time.Duration(chain.Default.MinPriority())
 }
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -243,6 +243,20 @@
 	require.Zero(t, l.current, "an idle gate is open within a second")
 }
 
+// TestRiseStopsAtClass guards against shedding a higher class before it is seen
+// whether shedding all of the lower ones is enough.
+func TestRiseStopsAtClass(t *testing.T) {
+	l := level{}
+	for _, want := range []chain.Priority{chain.Default.MinPriority(), chain.Critical.MinPriority(), maxLevel} {
+		for p := range chain.MaxPriority {
+			l.arrive(p)
+		}
+		l.noRoom = 1000
+		l.adapt(time.Millisecond, 0)
+		require.Equal(t, want, l.current)
+	}
+}
+
 // TestLevels guards against an entrance that refuses because of one upstream,
 // or because of a report that has become old.
 func TestLevels(t *testing.T) {
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -88,12 +88,24 @@
 		part = max(part, min(1, float32(l.noRoom)/float32(l.admitted)))
 	}
 	want := part * l.aboveLevel()
-	for l.current < maxLevel && want > 0 {
+	top := l.riseBound()
+	for l.current < top && want > 0 {
 		want -= l.histogram[l.current]
 		l.current++
 	}
 }
 
+// riseBound stops a rise at the next class: a higher class is shed only after a
+// period in which shedding all of the lower ones was not enough.
+func (l *level) riseBound() chain.Priority {
+	for class := chain.Sheddable + 1; class <= chain.Critical; class++ {
+		if l.current < class.MinPriority() {
+			return class.MinPriority()
+		}
+	}
+	return maxLevel
+}
+
 // fall admits fallStep more, or what the idle capacity can serve. Below the
 // level, a priority counts at least as much as the average one above: where
 // entrances refuse early, the gate does not see what waits there, and would
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -78,7 +78,7 @@
 //
 // Measured against a latency gradient and hill climbing on throughput in
 // BenchmarkLimiters: under a fivefold slowdown with three times the demand it
-// keeps 93 to 96% of the goodput (gradient 88 to 92%, hill climbing 30 to 54%),
+// keeps 94 to 96% of the goodput (gradient 86 to 91%, hill climbing 56 to 62%),
 // and it finds 12 real slots behind 35 declared ones, where the gradient ends
 // at its upper bound. docs/design.md has the table.
 type probeLimiter struct {
--- a/core/admit/limit_test.go
+++ b/core/admit/limit_test.go
@@ -171,20 +171,31 @@
 	}
 }
 
+// reportLimiter reports the means of five seeds.
 func reportLimiter(b *testing.B, name string, noise float64) {
-	f1 := trigger(gateWith(name), noise).run()
-	low := mismatch(gateWith(name), 12, noise, 1500).run()
-	high := mismatch(gateWith(name), 70, noise, 4500).run()
-	share := func(s *scenario, from, to, capacity int) float64 {
-		return 100 * float64(sum(s.good, 0, from, to)) / float64((to-from)*capacity)
+	totals := map[string]float64{}
+	const seeds = 5
+	for seed := range uint64(seeds) {
+		run := func(s *scenario, from, to, capacity int) (limit, goodput float64) {
+			s.seed = seed
+			s.run()
+			return mean(s.limits[from:]) / seeds, 100 * float64(sum(s.good, 0, from, to)) / float64((to-from)*capacity) / seeds
+		}
+		f1 := trigger(gateWith(name), noise)
+		_, goodput := run(f1, 6, 15, 350)
+		totals["F1-goodput%"] += goodput
+		totals["F1-slowest-ms-after-2s"] = max(totals["F1-slowest-ms-after-2s"], float64(f1.slowest[17].Milliseconds()))
+		limit, goodput := run(mismatch(gateWith(name), 12, noise, 1500), 10, 20, 600)
+		totals["limit-of-12"] += limit
+		totals["goodput%-of-12"] += goodput
+		limit, goodput = run(mismatch(gateWith(name), 70, noise, 4500), 10, 20, 3500)
+		totals["limit-of-70"] += limit
+		totals["goodput%-of-70"] += goodput
 	}
 	b.ReportMetric(0, "ns/op")
-	b.ReportMetric(share(f1, 6, 15, 350), "F1-goodput%")
-	b.ReportMetric(float64(f1.slowest[17].Milliseconds()), "F1-slowest-ms-after-2s")
-	b.ReportMetric(mean(low.limits[10:]), "limit-of-12")
-	b.ReportMetric(share(low, 10, 20, 600), "goodput%-of-12")
-	b.ReportMetric(mean(high.limits[10:]), "limit-of-70")
-	b.ReportMetric(share(high, 10, 20, 3500), "goodput%-of-70")
+	for unit, value := range totals {
+		b.ReportMetric(value, unit)
+	}
 }
 
 func mean(values []int) float64 {
--- a/core/admit/sim_test.go
+++ b/core/admit/sim_test.go
@@ -39,6 +39,7 @@
 	retries  int                             // immediate retries of a caller after a failure
 	deadline time.Duration
 	length   time.Duration
+	seed     uint64
 
 	now    time.Time
 	events eventHeap
@@ -77,7 +78,7 @@
 
 func (s *scenario) run() *scenario {
 	s.now = simEpoch
-	s.rng = rand.New(rand.NewPCG(1, 2))
+	s.rng = rand.New(rand.NewPCG(s.seed, 2))
 	s.calls = make(map[uint64]*simCall)
 	s.at(0, s.arrive)
 	s.at(0, s.tick)
