--- a/cmd/bilberrydeck/main.go
+++ b/cmd/bilberrydeck/main.go
@@ -36,6 +36,7 @@
 func commands() []command {
 	return []command{
 		{"check", "validate declaration and settings files", runCheck},
+		{"loadtest", "measure the request path under overload", runLoadtest},
 		{"version", "print the version of the program", runVersion},
 	}
 }
--- /dev/null
+++ b/loadtest/print.go
@@ -0,0 +1,73 @@
+package loadtest
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Phases of the scenario, in order.
+const (
+	phaseSteady = iota
+	phaseOverload
+	phaseCalm
+)
+
+// GoodputRatio is the goodput during the overload as a share of what the
+// bottleneck can serve.
+func (r *Result) GoodputRatio() float64 {
+	return r.Report.Phases[phaseOverload].Goodput() / r.Bottleneck
+}
+
+// RecoverySeconds is the recovery time after the overload; false if the run
+// ended before the recovery.
+func (r *Result) RecoverySeconds() (float64, bool) {
+	d, ok := r.Report.Recovery(phaseCalm)
+	return d.Seconds(), ok
+}
+
+// Broken is the number of broken promises.
+func (r *Result) Broken() int {
+	n := 0
+	for _, count := range r.Report.Broken {
+		n += count
+	}
+	return n
+}
+
+// Print writes the result for people.
+func (r *Result) Print(w io.Writer) {
+	for _, p := range r.Report.Phases {
+		_, _ = fmt.Fprintf(w, "%-9s %5.1f s, %6.1f whole answers/s\n", p.Name, p.Duration.Seconds(), p.Goodput())
+		for _, name := range slices.Sorted(maps.Keys(p.Kinds)) {
+			k := p.Kinds[name]
+			_, _ = fmt.Fprintf(w, "  %-8s %5d requests, %5d whole, %.2f tries each, p50 %5.1f ms, p99 %6.1f ms%s\n",
+				name, k.Requests, k.Whole, float64(k.Tries)/float64(max(k.Requests, 1)),
+				float64(k.P50.Microseconds())/1000, float64(k.P99.Microseconds())/1000, counts(k.Errors))
+		}
+	}
+	requests := 0
+	for _, p := range r.Report.Phases {
+		n, _, _ := p.Totals()
+		requests += n
+	}
+	_, _ = fmt.Fprintf(w, "calls that reached the deep service: %d for %d requests\n", r.DeepCalls, requests)
+	_, _ = fmt.Fprintf(w, "broken promises: %d%s\n", r.Broken(), counts(r.Report.Broken))
+}
+
+func counts(m map[string]int) string {
+	var b strings.Builder
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		_, _ = fmt.Fprintf(&b, ", %s %d", k, m[k])
+	}
+	return b.String()
+}
+
+// Summary is the machine-readable last line.
+func (r *Result) Summary(result string) string {
+	recovery, ok := r.RecoverySeconds()
+	return fmt.Sprintf("result=%s goodput_ratio=%.3f recovery_s=%.2f recovered=%t broken=%d",
+		result, r.GoodputRatio(), recovery, ok, r.Broken())
+}
