--- /dev/null
+++ b/integration/control_test.go
@@ -0,0 +1,224 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control/client"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+	"github.com/bilberrydeck/bilberrydeck/emulator"
+)
+
+// controlGroup is a set of control processes. Each replica dials each other
+// one through a proxy of its own, so that directions can be cut apart.
+type controlGroup struct {
+	t       testing.TB
+	dir     string
+	address map[int]string
+	links   map[[2]int]*faultProxy // from, to
+	procs   map[int]*process
+}
+
+func newControlGroup(t testing.TB, ids ...int) *controlGroup {
+	g := &controlGroup{
+		t: t, dir: t.TempDir(), address: make(map[int]string),
+		links: make(map[[2]int]*faultProxy), procs: make(map[int]*process),
+	}
+	for _, id := range ids {
+		g.address[id] = freePort(t)
+	}
+	for _, id := range ids {
+		g.startReplica(id, false, ids)
+	}
+	return g
+}
+
+// startReplica writes the settings of a replica and starts it.
+func (g *controlGroup) startReplica(id int, join bool, peers []int) {
+	if g.address[id] == "" {
+		g.address[id] = freePort(g.t)
+	}
+	var list, dial []string
+	for _, peer := range peers {
+		if peer != id {
+			list = append(list, fmt.Sprintf(`{"id": %d, "address": %q}`, peer, g.address[peer]))
+		}
+	}
+	for other := range g.address {
+		if other != id {
+			dial = append(dial, fmt.Sprintf("%q: %q", g.address[other], g.link(id, other).address()))
+		}
+	}
+	settings := fmt.Sprintf(`{"id": %d, "listen": %q, "peers": [%s], "data_dir": "data-%d", "claim_shards": 2,
+		"join": %t, "dial": {%s}, "log": {"level": "info"}}`,
+		id, g.address[id], strings.Join(list, ", "), id, join, strings.Join(dial, ", "))
+	path := writeFile(g.t, g.dir, fmt.Sprintf("control-%d.settings.json", id), settings)
+	g.procs[id] = start(g.t, "control", "-settings", path)
+}
+
+// reserve fixes the address of a replica that starts later, so that the others
+// can be told how to dial it.
+func (g *controlGroup) reserve(id int) { g.address[id] = freePort(g.t) }
+
+func (g *controlGroup) link(from, to int) *faultProxy {
+	key := [2]int{from, to}
+	if g.links[key] == nil {
+		g.links[key] = newProxy(g.t, g.address[to])
+	}
+	return g.links[key]
+}
+
+func (g *controlGroup) dataDir(id int) string { return filepath.Join(g.dir, fmt.Sprintf("data-%d", id)) }
+
+// isolate cuts or heals all links between a replica and the others: inbound,
+// outbound or both.
+func (g *controlGroup) isolate(id int, inbound, outbound bool) {
+	for key, link := range g.links {
+		switch id {
+		case key[1]: // from another replica to this one
+			link.cut(inbound, outbound)
+		case key[0]:
+			link.cut(outbound, inbound)
+		}
+	}
+}
+
+// clientOf talks to the given replicas only.
+func (g *controlGroup) clientOf(ids ...int) *client.Client {
+	var addresses []string
+	for _, id := range ids {
+		addresses = append(addresses, g.address[id])
+	}
+	c := client.New(client.Config{Addresses: addresses})
+	g.t.Cleanup(c.Close)
+	return c
+}
+
+// leader waits for a leader of the configuration group among the replicas.
+func (g *controlGroup) leader(ids ...int) int {
+	found := 0
+	c := g.clientOf(ids...)
+	until(g.t, "a leader", func() bool {
+		for _, id := range ids {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			st, err := c.StatusOf(ctx, g.address[id])
+			cancel()
+			if err == nil && len(st.Groups) > 0 && st.Groups[0].Leader == uint64(id) && st.Groups[0].ConfirmationAgeMs >= 0 {
+				found = id
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// change builds a valid change of the emulated services.
+func change(number uint64, id, author string) *api.Change {
+	ch := &api.Change{Set: "default", Number: number, ChangeId: id, Author: author}
+	for _, name := range emulator.Services() {
+		s := emulator.Declaration(name)
+		s.MaxConnections = 100 + int(number)
+		ch.Services = append(ch.Services, &api.ServiceDocument{Service: name, Json: declaration.Encode(s)})
+	}
+	return ch
+}
+
+// publish resends until there is an answer.
+func publish(t testing.TB, c *client.Client, ch *api.Change) *api.ChangeResult {
+	t.Helper()
+	var res *api.ChangeResult
+	until(t, "an answer to the change", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		r, err := c.Publish(ctx, ch)
+		res = r
+		return err == nil
+	})
+	return res
+}
+
+func accept(t testing.TB, c *client.Client, number uint64) {
+	t.Helper()
+	res := publish(t, c, change(number, fmt.Sprint("change-", number), "operator"))
+	require.Equal(t, api.ChangeStatus_CHANGE_STATUS_ACCEPTED, res.Status, "%v", res)
+	require.Equal(t, number, res.Version)
+}
+
+// versionAt waits until a replica has applied a version.
+func (g *controlGroup) waitVersion(id int, version uint64) {
+	g.t.Helper()
+	c := g.clientOf(id)
+	until(g.t, fmt.Sprintf("version %d at replica %d", version, id), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		st, err := c.StatusOf(ctx, g.address[id])
+		return err == nil && st.Version >= version
+	})
+}
+
+// TestRestartAfterHundredsOfChanges guards against state that is lost or
+// differs after all replicas were killed at once.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	g := newControlGroup(t, 1, 2, 3)
+	c := g.clientOf(1, 2, 3)
+	const changes = 300
+	for n := uint64(1); n <= changes; n++ {
+		accept(t, c, n)
+	}
+	for _, p := range g.procs {
+		p.kill()
+	}
+	for _, p := range g.procs {
+		p.run()
+	}
+	for id := range g.procs {
+		g.waitVersion(id, changes)
+	}
+	first := publish(t, c, change(7, "change-7", "operator"))
+	require.Equal(t, api.ChangeStatus_CHANGE_STATUS_ACCEPTED, first.Status, "a resent change gets its first answer")
+	require.Equal(t, uint64(7), first.Version)
+	accept(t, c, changes+1)
+}
+
+// TestRacingOperators guards against two accepted changes with one number.
+func TestRacingOperators(t *testing.T) {
+	g := newControlGroup(t, 1, 2, 3)
+	const operators, rounds = 4, 10
+	type answer struct {
+		id  string
+		res *api.ChangeResult
+	}
+	for n := uint64(1); n <= rounds; n++ {
+		answers := make(chan answer, operators)
+		for i := range operators {
+			id := fmt.Sprintf("n%d-operator%d", n, i)
+			c := g.clientOf(1+i%3, 1+(i+1)%3, 1+(i+2)%3)
+			go func() { answers <- answer{id, publish(t, c, change(n, id, id))} }()
+		}
+		var accepted string
+		var taken []*api.ChangeResult
+		for range operators {
+			a := <-answers
+			if a.res.Status == api.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+				require.Empty(t, accepted, "number %d accepted twice", n)
+				accepted = a.id
+				continue
+			}
+			require.Equal(t, api.ChangeStatus_CHANGE_STATUS_NUMBER_TAKEN, a.res.Status)
+			taken = append(taken, a.res)
+		}
+		require.NotEmpty(t, accepted)
+		for _, r := range taken {
+			require.Equal(t, accepted, r.StandingChangeId)
+			require.Equal(t, accepted, r.StandingAuthor)
+		}
+	}
+}
--- /dev/null
+++ b/integration/process_test.go
@@ -0,0 +1,183 @@
+package integration
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// waitLimit bounds each wait for an outcome. It decides nothing: a test that
+// gets there has failed whatever the machine's speed.
+const waitLimit = 60 * time.Second
+
+var binary struct {
+	sync.Once
+	path string
+	err  error
+}
+
+// TestMain removes the binary that the tests have built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binary.path != "" {
+		_ = os.RemoveAll(filepath.Dir(binary.path))
+	}
+	os.Exit(code)
+}
+
+// build compiles the program once for all tests.
+func build(t testing.TB) string {
+	binary.Do(func() {
+		dir, err := os.MkdirTemp("", "bilberrydeck-test-")
+		if err != nil {
+			binary.err = err
+			return
+		}
+		binary.path = filepath.Join(dir, "bilberrydeck")
+		out, err := exec.Command("go", "build", "-o", binary.path, "../cmd/bilberrydeck").CombinedOutput()
+		if err != nil {
+			binary.err = fmt.Errorf("go build: %w: %s", err, out)
+		}
+	})
+	require.NoError(t, binary.err)
+	return binary.path
+}
+
+// process is one running process of the system.
+type process struct {
+	t    testing.TB
+	args []string
+	cmd  *exec.Cmd
+	log  *lockedBuffer
+	done chan error
+}
+
+// lockedBuffer keeps the output of a process.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// start runs the program with the given arguments. It is killed when the test
+// ends, and its output is shown if the test failed.
+func start(t testing.TB, args ...string) *process {
+	p := &process{t: t, args: args, log: &lockedBuffer{}}
+	p.run()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %v:\n%s", args, tail(p.log.String(), 6000))
+		}
+	})
+	return p
+}
+
+func tail(s string, n int) string {
+	if len(s) > n {
+		return s[len(s)-n:]
+	}
+	return s
+}
+
+func (p *process) run() {
+	p.cmd = exec.Command(build(p.t), p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	require.NoError(p.t, p.cmd.Start())
+	done := make(chan error, 1)
+	cmd := p.cmd
+	go func() { done <- cmd.Wait() }()
+	p.done = done
+}
+
+// kill ends the process at once, as a power failure does.
+func (p *process) kill() {
+	if p.cmd == nil {
+		return
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // a stopped process cannot be reaped
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	p.cmd = nil
+}
+
+// restart starts a killed process again.
+func (p *process) restart() {
+	p.kill()
+	p.run()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	require.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+// wait returns the exit code of a process that ends by itself.
+func (p *process) wait() int {
+	select {
+	case <-p.done:
+	case <-time.After(waitLimit):
+		require.FailNow(p.t, "process did not end", "%v", p.args)
+	}
+	code := p.cmd.ProcessState.ExitCode()
+	p.cmd = nil
+	return code
+}
+
+// runCommand runs the program to its end.
+func runCommand(t testing.TB, args ...string) (stdout, stderr string, code int) {
+	cmd := exec.Command(build(t), args...)
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		require.NoError(t, err)
+	}
+	return out.String(), errs.String(), cmd.ProcessState.ExitCode()
+}
+
+// until polls for an outcome.
+func until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	require.FailNow(t, "timed out waiting", what)
+}
+
+// freePort reserves an address on loopback. Another process could take it
+// before it is used; the range of ports makes that unlikely.
+func freePort(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func writeFile(t testing.TB, dir, name, text string) string {
+	path := filepath.Join(dir, name)
+	require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o644))
+	return path
+}
