Load test reports class inversions and amplification

Cause: the targets on the order of classes and on calls at the bottom had no figure. Change: the report counts requests that got no whole answer while one of a lower class that started in the same 250 ms got one, and the calls to the deep service for each request that reached the first service.

--- a/emulator/report.go
+++ b/emulator/report.go
@@ -145,6 +145,36 @@
 	return 0, true
 }
 
+// Inversions counts, in windows of a phase, the requests of a class that got
+// no whole answer although a request of a lower class that started in the same
+// window got one. The order of the classes is the order of the argument, from
+// the one that is shed first.
+func (rep *Report) Inversions(phase int, kinds []Kind, order []string) (inverted, requests int) {
+	class := make(map[string]int)
+	for _, k := range kinds {
+		class[k.Name] = slices.Index(order, k.Class)
+	}
+	begin, end := rep.marks[phase], rep.marks[phase+1]
+	lowest := make(map[int]int) // lowest class served by window
+	for _, res := range rep.results {
+		w := int((res.start - begin) / recoveryWindow)
+		if served, ok := lowest[w]; res.ok && (!ok || class[res.kind] < served) {
+			lowest[w] = class[res.kind]
+		}
+	}
+	for _, res := range rep.results {
+		if res.start < begin || res.start >= end || class[res.kind] == 0 {
+			continue
+		}
+		requests++
+		served, ok := lowest[int((res.start-begin)/recoveryWindow)]
+		if !res.ok && ok && served < class[res.kind] {
+			inverted++
+		}
+	}
+	return inverted, requests
+}
+
 // Totals sums the kinds of a phase.
 func (p *PhaseReport) Totals() (requests, whole, tries int) {
 	for _, k := range p.Kinds {
--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -161,15 +161,21 @@
 	}
 }
 
-// Arrived sums the requests that reached the handlers of the deep service.
-func (f *Fleet) Arrived() int64 {
+// Arrived sums the requests that reached the handlers of a service.
+func (f *Fleet) Arrived(service string) int64 {
 	n := int64(0)
-	for _, u := range f.Upstreams[deepService] {
+	for _, u := range f.Upstreams[service] {
 		n += u.Counters.Arrived.Load()
 	}
 	return n
 }
 
+// Amplification is the number of calls that reached the deep service for each
+// request that reached the first one. A request makes one such call.
+func (f *Fleet) Amplification() float64 {
+	return float64(f.Arrived(deepService)) / float64(max(f.Arrived(Services()[0]), 1))
+}
+
 // Run makes the load of the scenario against a fleet. Targets gives the base
 // address of a call's service at each entrance.
 func (s Scenario) Run(ctx context.Context, f *Fleet, targets func(CallSpec) []string, progress func(string)) *Report {
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -75,7 +75,9 @@
 	return g.links[key]
 }
 
-func (g *controlGroup) dataDir(id int) string { return filepath.Join(g.dir, fmt.Sprintf("data-%d", id)) }
+func (g *controlGroup) dataDir(id int) string {
+	return filepath.Join(g.dir, fmt.Sprintf("data-%d", id))
+}
 
 // isolate cuts or heals all links between a replica and the others: inbound,
 // outbound or both.
--- a/loadtest/daemons.go
+++ b/loadtest/daemons.go
@@ -117,7 +117,13 @@
 type Result struct {
 	Report     *emulator.Report
 	Bottleneck float64 // requests per second that the deep service serves during the overload
-	DeepCalls  int64   // requests that reached the handlers of the deep service
+	Kinds      []emulator.Kind
+
+	Amplification float64 // calls to the deep service for each request that reached the first one
+}
+
+func newResult(s emulator.Scenario, rep *emulator.Report, fleet *emulator.Fleet) *Result {
+	return &Result{Report: rep, Bottleneck: s.Bottleneck(), Kinds: s.Kinds(), Amplification: fleet.Amplification()}
 }
 
 // Run runs the scenario with daemons.
@@ -140,7 +146,7 @@
 		return nil, err
 	}
 	rep := s.Run(ctx, fleet, d.targets, progress)
-	return &Result{Report: rep, Bottleneck: s.Bottleneck(), DeepCalls: fleet.Arrived()}, nil
+	return newResult(s, rep, fleet), nil
 }
 
 // RunDirect runs the scenario without daemons; see emulator.Scenario.RunDirect.
@@ -149,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Result{Report: rep, Bottleneck: s.Bottleneck(), DeepCalls: fleet.Arrived()}, nil
+	return newResult(s, rep, fleet), nil
 }
 
 // memoryClaims keeps claims in one machine without replication.
--- a/loadtest/print.go
+++ b/loadtest/print.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
 )
 
 // Phases of the scenario, in order.
@@ -37,6 +39,12 @@
 	return n
 }
 
+// Inversions counts the requests of the overload that got no whole answer while
+// one of a lower class did.
+func (r *Result) Inversions() (inverted, requests int) {
+	return r.Report.Inversions(phaseOverload, r.Kinds, chain.ClassNames())
+}
+
 // Print writes the result for people.
 func (r *Result) Print(w io.Writer) {
 	for _, p := range r.Report.Phases {
@@ -48,12 +56,9 @@
 				float64(k.P50.Microseconds())/1000, float64(k.P99.Microseconds())/1000, counts(k.Errors))
 		}
 	}
-	requests := 0
-	for _, p := range r.Report.Phases {
-		n, _, _ := p.Totals()
-		requests += n
-	}
-	_, _ = fmt.Fprintf(w, "calls that reached the deep service: %d for %d requests\n", r.DeepCalls, requests)
+	inverted, requests := r.Inversions()
+	_, _ = fmt.Fprintf(w, "calls to the deep service for each request that reached the first one: %.2f\n", r.Amplification)
+	_, _ = fmt.Fprintf(w, "requests without a whole answer while a lower class got one, in the overload: %d of %d\n", inverted, requests)
 	_, _ = fmt.Fprintf(w, "broken promises: %d%s\n", r.Broken(), counts(r.Report.Broken))
 }
 
@@ -68,6 +73,7 @@
 // Summary is the machine-readable last line.
 func (r *Result) Summary(result string) string {
 	recovery, ok := r.RecoverySeconds()
-	return fmt.Sprintf("result=%s goodput_ratio=%.3f recovery_s=%.2f recovered=%t broken=%d",
-		result, r.GoodputRatio(), recovery, ok, r.Broken())
+	inverted, _ := r.Inversions()
+	return fmt.Sprintf("result=%s goodput_ratio=%.3f recovery_s=%.2f recovered=%t amplification=%.2f inversions=%d broken=%d",
+		result, r.GoodputRatio(), recovery, ok, r.Amplification, inverted, r.Broken())
 }
