control, settings: dial addresses in place of advertised ones

Cause: all replicas share the advertised addresses through the replicated set, so a replica behind a forwarder or address translation could not be reached, and tests could not put a proxy into one direction between two replicas. Change: setting dial of control, an object from advertised to dialled addresses; used for replication, introduction and forwarding.

--- a/control/config.go
+++ b/control/config.go
@@ -32,6 +32,9 @@
 	// AdvertiseAddress is where other processes reach this one; empty means
 	// the listen address.
 	AdvertiseAddress string
+	// Dial maps advertised addresses of other replicas to the addresses to
+	// dial instead, where a forwarder or address translation lies between.
+	Dial map[string]string
 	// Peers holds the addresses of the first replica set by replica id, this
 	// replica included. It is not used once the group has state.
 	Peers map[uint64]string
--- a/control/founding.go
+++ b/control/founding.go
@@ -120,7 +120,7 @@
 const introduceTimeout = 2 * time.Second
 
 func (s *Server) introduce(ctx context.Context, address string) (*api.IntroduceReply, error) {
-	conn, err := dial(address, s.cfg.ClientTLS)
+	conn, err := dial(&s.cfg, address)
 	if err != nil {
 		return nil, err
 	}
--- a/control/replace.go
+++ b/control/replace.go
@@ -155,7 +155,7 @@
 	if address == "" {
 		return &raft.NotLeaderError{}
 	}
-	conn, err := dial(address, s.cfg.ClientTLS)
+	conn, err := dial(&s.cfg, address)
 	if err != nil {
 		return err
 	}
--- a/control/transport.go
+++ b/control/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +79,7 @@
 // run keeps a stream to one peer until the transport closes or the peer is
 // idle.
 func (t *transport) run(p *peer) {
-	conn, err := dial(p.address, t.cfg.ClientTLS)
+	conn, err := dial(t.cfg, p.address)
 	if err != nil {
 		t.cfg.Logger.Error().Str("peer", p.address).Err(err).Msg("peer address cannot be used")
 		t.forget(p)
@@ -147,10 +146,13 @@
 
 // dial opens a connection to another control process. Keepalive probes find a
 // silent partition, after which TCP would retransmit for minutes.
-func dial(address string, tlsConfig *tls.Config) (*grpc.ClientConn, error) {
+func dial(cfg *Config, address string) (*grpc.ClientConn, error) {
 	transportCredentials := insecure.NewCredentials()
-	if tlsConfig != nil {
-		transportCredentials = credentials.NewTLS(tlsConfig)
+	if cfg.ClientTLS != nil {
+		transportCredentials = credentials.NewTLS(cfg.ClientTLS)
+	}
+	if instead, ok := cfg.Dial[address]; ok {
+		address = instead
 	}
 	return grpc.NewClient(address,
 		grpc.WithTransportCredentials(transportCredentials),
--- a/settings/control.go
+++ b/settings/control.go
@@ -9,12 +9,13 @@
 
 // Control holds the settings of one control replica.
 type Control struct {
-	ID          uint64 // unique among all replicas, also of replaced ones
-	Listen      string // address of the gRPC server
-	Peers       []Peer // the other replicas of the first configuration
-	DataDir     string // the one directory for all files of the replica
-	ClaimShards int    // raft groups for claims beside the configuration group
-	Join        bool   // start empty and wait to be added by `replica replace`
+	ID          uint64            // unique among all replicas, also of replaced ones
+	Listen      string            // address of the gRPC server
+	Peers       []Peer            // the other replicas of the first configuration
+	Dial        map[string]string // addresses to dial in place of advertised ones; usually empty
+	DataDir     string            // the one directory for all files of the replica
+	ClaimShards int               // raft groups for claims beside the configuration group
+	Join        bool              // start empty and wait to be added by `replica replace`
 	Retention   time.Duration
 	TLS         *TLS // nil for loopback only
 	Log         Log
@@ -68,6 +69,7 @@
 		Log:         r.log(top),
 	}
 	c.Peers = readPeers(top, c)
+	c.Dial = readDial(top)
 	if c.TLS == nil {
 		requireLoopback(top, "listen", c.Listen, whyNoTLS)
 	}
@@ -78,6 +80,21 @@
 	return c, r.file.Problems()
 }
 
+// readDial reads the addresses to dial in place of the advertised ones, for
+// replicas that are reached through a forwarder or address translation.
+func readDial(top *jsonfile.Object) map[string]string {
+	o := top.Object("dial")
+	if o == nil {
+		return nil
+	}
+	dial := make(map[string]string)
+	for _, advertised := range o.Names() {
+		dial[advertised] = address(o, advertised)
+	}
+	o.Close()
+	return dial
+}
+
 func readPeers(top *jsonfile.Object, c Control) []Peer {
 	var peers []Peer
 	ids := map[uint64]bool{c.ID: true}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -125,3 +126,14 @@
 		ParseControl("f", src)
 	})
 }
+
+// TestControlDial guards against a forwarding address that is dropped or not
+// checked.
+func TestControlDial(t *testing.T) {
+	const text = `{"id": 1, "listen": "127.0.0.1:7100", "data_dir": "d", "peers": [], "dial": {"127.0.0.1:7101": %s}}`
+	c, problems := ParseControl("c.settings.json", fmt.Appendf(nil, text, `"127.0.0.1:9000"`))
+	require.Empty(t, problems)
+	require.Equal(t, map[string]string{"127.0.0.1:7101": "127.0.0.1:9000"}, c.Dial)
+	_, problems = ParseControl("c.settings.json", fmt.Appendf(nil, text, `"nowhere"`))
+	require.NotEmpty(t, problems)
+}
