--- /dev/null
+++ b/core/admit/level.go
@@ -0,0 +1,122 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+const (
+	// riseStep is the part of the admitted arrivals that one rise sheds in
+	// addition. Under a surge it is the part of the admitted arrivals and not of
+	// all: 5% of all can be more than the upstream serves, and the level would
+	// swing between too much and nothing.
+	riseStep = 0.05
+	// fallStep is the part of the admitted arrivals that one fall adds.
+	fallStep = 0.01
+	// maxFallStep bounds a fall while capacity is idle: the admitted work at
+	// most doubles in a period, so a fifteenfold overload is undone in five.
+	maxFallStep = 1.0
+	// histogramKeep is the weight of earlier periods in the histogram.
+	histogramKeep = 0.7
+	// maxLevel always admits the highest priority, so that load keeps being
+	// measured and a gate never closes by its own level.
+	maxLevel = chain.MaxPriority - 1
+)
+
+// level is the admission level of a gate and what it is derived from.
+type level struct {
+	current   chain.Priority
+	histogram [chain.MaxPriority]float32 // arrivals by priority, decayed by period
+
+	// Of the current period:
+	waits    int
+	waitSum  time.Duration
+	admitted int           // arrivals at or above the level
+	noRoom   int           // refusals for lack of room, or of time in the queue
+	busy     time.Duration // integral of the running requests
+	capacity time.Duration // integral of the limit
+}
+
+func (l *level) arrive(p chain.Priority) {
+	l.histogram[p]++
+	if p >= l.current {
+		l.admitted++
+	}
+}
+
+func (l *level) wait(d time.Duration) {
+	l.waits++
+	l.waitSum += d
+}
+
+// use adds an interval with a constant number of running requests.
+func (l *level) use(d time.Duration, running, limit int) {
+	l.busy += d * time.Duration(running)
+	l.capacity += d * time.Duration(limit)
+}
+
+// adapt ends a period. oldest is the wait of the oldest queued entry.
+func (l *level) adapt(target, oldest time.Duration) {
+	mean := oldest // if nothing was started in the whole period
+	if l.waits > 0 {
+		mean = l.waitSum / time.Duration(l.waits)
+	}
+	if mean > target || l.noRoom > 0 {
+		l.rise(min(max(float32(mean-target)/float32(target), 0.2), 1))
+	} else {
+		l.fall()
+	}
+	l.reset()
+}
+
+// aboveLevel is the number of arrivals that the level admits, by the histogram.
+func (l *level) aboveLevel() float32 {
+	sum := float32(0)
+	for _, n := range l.histogram[l.current:] {
+		sum += n
+	}
+	return sum
+}
+
+// rise sheds riseStep of the admitted arrivals, scaled by how far the wait
+// exceeds the target (excess, 0.2 to 1), or the part that found no room
+// if that is larger: 5% a period would need seconds for a fifteenfold surge.
+func (l *level) rise(excess float32) {
+	part := riseStep * excess
+	if l.admitted > 0 {
+		part = max(part, min(1, float32(l.noRoom)/float32(l.admitted)))
+	}
+	want := part * l.aboveLevel()
+	for l.current < maxLevel && want > 0 {
+		want -= l.histogram[l.current]
+		l.current++
+	}
+}
+
+// fall admits fallStep more, or what the idle capacity can serve.
+func (l *level) fall() {
+	part := float32(fallStep)
+	if l.capacity > 0 {
+		used := max(float32(l.busy)/float32(l.capacity), 0.01)
+		part = max(part, min(1/used-1, maxFallStep))
+	}
+	want := part * l.aboveLevel()
+	for l.current > 0 {
+		l.current--
+		want -= l.histogram[l.current]
+		if want <= 0 && l.histogram[l.current] > 0 {
+			return
+		}
+	}
+}
+
+func (l *level) reset() {
+	for i := range l.histogram {
+		l.histogram[i] *= histogramKeep
+		if l.histogram[i] < 0.01 {
+			l.histogram[i] = 0
+		}
+	}
+	l.waits, l.waitSum, l.admitted, l.noRoom, l.busy, l.capacity = 0, 0, 0, 0, 0, 0
+}
--- /dev/null
+++ b/core/balance/pick.go
@@ -0,0 +1,252 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// Pick chooses the upstream of an attempt. It fails with the outcome not-run if
+// no upstream is usable or the byte budget of the link does not allow it.
+func (b *Balancer) Pick(now time.Time, r Request) (Choice, *chain.Failure) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c, ok := b.pickWithRoom(now, r); ok {
+		return c, nil
+	}
+	return b.pickAny(now, r)
+}
+
+// attempts is the order in which tiers are tried. A cold or suspected upstream
+// is filled up to its declared slots before a call leaves the region.
+var attempts = [...]struct {
+	tier   Tier
+	scaled bool // slots are scaled by trust
+}{
+	{SameAvailabilityZone, true},
+	{SameRegion, true},
+	{SameAvailabilityZone, false},
+	{SameRegion, false},
+	{OtherRegion, true},
+}
+
+// pickWithRoom takes the nearest tier with an upstream that is neither ejected
+// nor saturated.
+func (b *Balancer) pickWithRoom(now time.Time, r Request) (Choice, bool) {
+	for _, a := range attempts {
+		candidates := b.candidates(a.tier, r, func(m *member) bool {
+			return !m.ejected(now) && !m.saturated(now, r.Priority, b.slots(now, m, a.scaled))
+		})
+		if c, ok := b.choose(now, r, candidates); ok {
+			return c, true
+		}
+	}
+	return Choice{}, false
+}
+
+// slots is the number of own calls above which an upstream is saturated.
+// Without the scaling, a cold upstream would get all calls for which warm ones
+// have no room.
+func (b *Balancer) slots(now time.Time, m *member, scaled bool) int {
+	if !scaled || m.up.Slots <= 0 {
+		return m.up.Slots
+	}
+	return max(1, int(float64(m.up.Slots)*m.trust(now, b.cfg.SlowStart)))
+}
+
+// pickAny is used when all tiers are saturated or ejected: the gate of the
+// nearest usable upstream decides by priority. Ejected ones come last, since
+// a suspected upstream is better than none.
+func (b *Balancer) pickAny(now time.Time, r Request) (Choice, *chain.Failure) {
+	linkSpent := false
+	for _, allowEjected := range []bool{false, true} {
+		for t := range numTiers {
+			candidates := b.candidates(t, r, func(m *member) bool { return allowEjected || !m.ejected(now) })
+			if c, ok := b.choose(now, r, candidates); ok {
+				return c, nil
+			}
+			linkSpent = linkSpent || len(candidates) > 0
+		}
+	}
+	if linkSpent {
+		return Choice{}, chain.NewFailure(chain.NotRun, chain.ReasonLinkBudget, "the byte budget of the region link is spent")
+	}
+	return Choice{}, chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "no usable upstream is known")
+}
+
+// candidates returns the members of a tier that are not draining, not excluded
+// and accepted by ok. The slice is valid until the next call.
+func (b *Balancer) candidates(t Tier, r Request, ok func(*member) bool) []*member {
+	begin := 0
+	if t > 0 {
+		begin = b.ends[t-1]
+	}
+	b.scratch = b.scratch[:0]
+	for _, m := range b.members[begin:b.ends[t]] {
+		if m.draining || slices.Contains(r.Exclude, m.up.ID) || !ok(m) {
+			continue
+		}
+		b.scratch = append(b.scratch, m)
+	}
+	return b.scratch
+}
+
+// choose compares two random candidates. It fails if there is none or if the
+// link to the chosen region has no budget left.
+func (b *Balancer) choose(now time.Time, r Request, candidates []*member) (Choice, bool) {
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	m := b.better(now, candidates)
+	bytes := int64(0)
+	if m.tier == OtherRegion {
+		bytes = r.Bytes
+		if bytes <= 0 {
+			bytes = int64(b.avgBytes)
+		}
+		if !b.cfg.Links.take(now, m.up.Region, bytes, linkReserve(r)) {
+			return Choice{}, false
+		}
+	}
+	m.inFlight++
+	return Choice{Upstream: m.up, Tier: m.tier, Usable: len(candidates), member: m, bytes: bytes}, true
+}
+
+// linkReserve is the part of a link budget that a request must leave, so that
+// refused background work and retries do not spend what bookings need.
+func linkReserve(r Request) float64 {
+	switch {
+	case r.Retry || r.Priority.Class() == chain.Sheddable:
+		return 0.5
+	case r.Priority.Class() == chain.Default:
+		return 0.25
+	}
+	return 0
+}
+
+func (b *Balancer) better(now time.Time, candidates []*member) *member {
+	n := len(candidates)
+	if n == 1 {
+		return candidates[0]
+	}
+	i := b.rng.IntN(n)
+	j := b.rng.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	x, y := candidates[i], candidates[j]
+	if y.cost(now, &b.cfg, b.usual) < x.cost(now, &b.cfg, b.usual) {
+		return y
+	}
+	return x
+}
+
+// Done ends an attempt.
+func (b *Balancer) Done(now time.Time, c Choice, r Result) {
+	m := c.member
+	if m == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m.inFlight = max(m.inFlight-1, 0)
+	if r.Report != nil {
+		m.report, m.reportAt = *r.Report, now
+	}
+	if r.Bytes > 0 {
+		b.avgBytes += (float64(r.Bytes) - b.avgBytes) / 64
+	}
+	if m.tier == OtherRegion {
+		b.cfg.Links.settle(now, m.up.Region, c.bytes, r.Bytes)
+	}
+	b.judge(now, m, r)
+}
+
+// judge updates the trust in an upstream.
+func (b *Balancer) judge(now time.Time, m *member, r Result) {
+	latency := r.Latency.Seconds()
+	switch {
+	case r.Outcome == chain.OK:
+		m.failures, m.ejections = 0, 0
+		b.observeUsual(latency)
+		m.observeLatency(now, latency, b.cfg.LatencyTimeConst)
+	case r.Reason == chain.ReasonDraining:
+		m.draining = true
+	case isFault(r):
+		m.failures++
+		m.failedAt = now
+		m.timedOut = r.Reason == chain.ReasonDeadline
+		if b.usual > 0 && latency > max(m.latency, b.usual) { // a fast failure must not look like a fast upstream
+			m.observeLatency(now, latency, b.cfg.LatencyTimeConst)
+		}
+		b.maybeEject(now, m)
+	}
+}
+
+func (b *Balancer) observeUsual(latency float64) {
+	if b.usual == 0 {
+		b.usual = latency
+	}
+	b.usual += (latency - b.usual) / 32
+}
+
+// isFault reports whether a result speaks against the upstream itself: refusals
+// under load, faults further down and callers that left do not.
+func isFault(r Result) bool {
+	if r.Deep || r.Reason == chain.ReasonCancelled || r.Reason == chain.ReasonDownstream {
+		return false
+	}
+	if r.Outcome == chain.NotRun {
+		return r.Reason == chain.ReasonConnect
+	}
+	return true
+}
+
+// maybeEject ejects a member after too many failures within the bounds.
+func (b *Balancer) maybeEject(now time.Time, m *member) {
+	if m.failures < b.cfg.EjectAfter || m.ejected(now) || b.byID[m.up.ID] != m {
+		return
+	}
+	if m.timedOut && b.commonSlowness(now) {
+		return
+	}
+	var earliest *member
+	ejected, usable := b.countEjected(now, &earliest)
+	if ejected+1 > maxEjected(len(b.members)) || usable <= 1 {
+		return
+	}
+	m.ejectedUntil = now.Add(b.ejectTime(m))
+	m.ejections++
+	m.since = m.ejectedUntil // slow start after the return
+}
+
+// commonSlowness reports whether more upstreams miss deadlines than may be
+// ejected, and then ends their ejections: the service as a whole is slow, and
+// without a third of its upstreams it would be slower.
+func (b *Balancer) commonSlowness(now time.Time) bool {
+	slow := 0
+	for _, m := range b.members {
+		if m.timedOut && m.failures >= b.cfg.EjectAfter {
+			slow++
+		}
+	}
+	if slow <= maxEjected(len(b.members)) {
+		return false
+	}
+	for _, m := range b.members {
+		if m.timedOut && m.ejected(now) {
+			m.ejectedUntil = now
+			m.since = now.Add(-b.cfg.SlowStart) // it was not the upstream, so no slow start
+		}
+	}
+	return true
+}
+
+func (b *Balancer) ejectTime(m *member) time.Duration {
+	d := b.cfg.EjectTime << min(m.ejections, 16)
+	if d > b.cfg.MaxEjectTime || d <= 0 {
+		d = b.cfg.MaxEjectTime
+	}
+	return d + time.Duration(b.rng.Int64N(int64(d)/4+1)) // daemons must not return together
+}
