--- a/control/config.go
+++ b/control/config.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/tls"
 	"io"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -46,7 +47,7 @@
 
 	Logger            *log.Logger // nil discards all lines
 	Clock             func() time.Time
-	Seed              uint64
+	Seed              uint64        // must differ at each start; 0 means a random one
 	TickInterval      time.Duration // 0 means 50 ms
 	SnapshotThreshold uint64        // applied entries between snapshots; 0 means 10,000
 
@@ -80,6 +81,9 @@
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
 	if c.TickInterval == 0 {
 		c.TickInterval = defaultTick
 	}
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -19,30 +19,32 @@
 		r.vote = nil
 	}
 	r.role = Follower
-	r.setLeader(leader)
+	r.leader = leader
 	r.votes = nil
 	r.progress = nil
 	r.rounds = leaderRounds{}
 	r.resetElectionTimer()
 }
 
-func (r *Raft) setLeader(leader *api.ReplicaRef) {
-	r.leader = leader
-	r.replies = followerReplies{term: r.term}
-}
-
 // followLeader accepts the sender of an append, heartbeat or snapshot of the
 // current term as leader.
 func (r *Raft) followLeader(from *api.ReplicaRef) {
-	switch {
-	case r.role != Follower:
+	if r.role != Follower {
 		r.becomeFollower(r.term, from)
-	case !sameReplica(r.leader, from):
-		r.setLeader(from)
 	}
+	r.leader = from
 	r.electionElapsed = 0
 }
 
+// electable reports whether this replica starts elections. A replica that a
+// set removes does so until it knows that the set is committed: it may hold
+// the only log that is complete enough to win (Raft dissertation, section
+// 4.2.2).
+func (r *Raft) electable() bool {
+	id := r.cfg.Self.Id
+	return isVoter(r.sets.current(), id) || r.sets.index() > r.log.committed && isVoter(r.sets.at(r.log.committed), id)
+}
+
 // campaign starts an election. A pre-candidate asks whether it could win
 // without raising its term, so that a replica that was cut off for long does
 // not disturb the group when it returns.
@@ -56,7 +58,7 @@
 		r.elections++
 	}
 	r.role = role
-	r.setLeader(nil)
+	r.leader = nil
 	r.votes = map[uint64]bool{r.cfg.Self.Id: true}
 	r.resetElectionTimer()
 	for _, ref := range members(r.sets.current()) {
@@ -125,7 +127,7 @@
 
 func (r *Raft) becomeLeader() {
 	r.role = Leader
-	r.setLeader(r.cfg.Self)
+	r.leader = r.cfg.Self
 	r.votes = nil
 	r.electionElapsed = 0
 	r.heartbeatElapsed = 0
--- a/core/raft/heartbeat.go
+++ b/core/raft/heartbeat.go
@@ -88,7 +88,7 @@
 		p := r.progress[ref.Id]
 		m := &api.ReplicaMessage{
 			Kind: api.ReplicaMessage_KIND_HEARTBEAT, Term: r.term, Sequence: r.rounds.sequence,
-			Commit: min(p.match, r.log.committed), ConfirmationAgeMs: age, Echo: p.acked,
+			Commit: min(p.match, r.log.committed), ConfirmationAgeMs: age, Echo: p.token,
 		}
 		if r.confirm.valid != nil {
 			m.LogIndex = r.confirm.valid.index
@@ -136,7 +136,10 @@
 }
 
 func (r *Raft) handleHeartbeatReply(p *progress, m *api.ReplicaMessage) {
-	p.acked = max(p.acked, m.Sequence)
+	if m.Sequence >= p.acked {
+		p.acked = m.Sequence
+		p.token = m.Echo
+	}
 	r.confirmRounds()
 	if p.match >= r.log.last() {
 		return
@@ -165,24 +168,34 @@
 	}
 }
 
-// followerReplies remembers when this replica answered the heartbeat rounds
-// of its leader.
+// followerReplies remembers when this replica sent its latest heartbeat
+// replies. Each has a token of its own, which the leader echoes. Sequences
+// would not do: after a restart, a heartbeat that arrives twice would give its
+// sequence a second, later time.
 type followerReplies struct {
-	term uint64
-	sent []round // commit is unused
+	token uint64
+	sent  []reply
 }
 
-func (f *followerReplies) add(sequence uint64, at time.Time) {
-	f.sent = append(f.sent, round{sequence: sequence, start: at})
+type reply struct {
+	token uint64
+	at    time.Time
+}
+
+// add returns the token of a reply that is sent at the given time.
+func (f *followerReplies) add(at time.Time) uint64 {
+	f.token++
+	f.sent = append(f.sent, reply{f.token, at})
 	if len(f.sent) > maxRounds {
 		f.sent = f.sent[1:]
 	}
+	return f.token
 }
 
-func (f *followerReplies) find(sequence uint64) (time.Time, bool) {
+func (f *followerReplies) find(token uint64) (time.Time, bool) {
 	for _, s := range f.sent {
-		if s.sequence == sequence {
-			return s.start, true
+		if s.token == token {
+			return s.at, true
 		}
 	}
 	return time.Time{}, false
@@ -199,6 +212,7 @@
 		age := time.Duration(m.ConfirmationAgeMs) * time.Millisecond
 		r.confirm.add(confirmation{sentAt.Add(-age), m.LogIndex}, r.log.committed)
 	}
-	r.replies.add(m.Sequence, r.now)
-	r.send(m.From, &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_HEARTBEAT_REPLY, Term: r.term, Sequence: m.Sequence})
+	r.send(m.From, &api.ReplicaMessage{
+		Kind: api.ReplicaMessage_KIND_HEARTBEAT_REPLY, Term: r.term, Sequence: m.Sequence, Echo: r.replies.add(r.now),
+	})
 }
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -26,6 +26,7 @@
 
 	active         bool
 	acked          uint64 // largest heartbeat sequence acknowledged
+	token          uint64 // of the reply that acknowledged it
 	matchAtReply   uint64 // match at the previous heartbeat reply
 	firstUnmatched uint64
 }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -53,7 +53,9 @@
 	MaxInflight    int    // unacknowledged appends per follower; 0 means 64
 	Trailing       uint64 // entries kept before a snapshot, for replicas that lag a little
 	SnapshotRetry  int    // heartbeat replies after which an unanswered snapshot is sent again; 0 means 300
-	Seed           uint64
+	// Seed must differ at each start of a replica: it also makes the tokens
+	// of heartbeat replies, which must not repeat those of an earlier start.
+	Seed uint64
 
 	HardState HardState
 	Snapshot  *Snapshot    // nil if there is none
@@ -128,6 +130,7 @@
 	for _, e := range cfg.Entries {
 		r.sets.appended(e)
 	}
+	r.replies.token = r.random.Uint64()
 	r.lastHard = r.hardState()
 	r.resetElectionTimer()
 	return r
@@ -245,7 +248,7 @@
 		r.tickLeader()
 		return
 	}
-	if r.electionElapsed >= r.electionTimeout && isVoter(r.sets.current(), r.cfg.Self.Id) {
+	if r.electionElapsed >= r.electionTimeout && r.electable() {
 		r.campaign(PreCandidate)
 	}
 }
--- /dev/null
+++ b/core/raft/raft_test.go
@@ -0,0 +1,184 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+func ref(id uint64) *api.ReplicaRef {
+	return &api.ReplicaRef{Id: id, DiskId: fmt.Sprint("disk-", id)}
+}
+
+func refs(ids ...uint64) (list []*api.ReplicaRef) {
+	for _, id := range ids {
+		list = append(list, ref(id))
+	}
+	return list
+}
+
+// replica returns replica id with a log of the given sets, all of term 1, of
+// which the first is committed.
+func replica(t *testing.T, id uint64, sets ...*api.ReplicaSet) *Raft {
+	var entries []*api.Entry
+	for i, s := range sets {
+		e, err := setEntry(1, uint64(i+1), s)
+		require.NoError(t, err)
+		entries = append(entries, e)
+	}
+	return New(Config{Self: ref(id), Entries: entries, HardState: HardState{Term: 1, Commit: 1}, Seed: id})
+}
+
+// take returns the messages of the outstanding work.
+func take(r *Raft) []*api.ReplicaMessage {
+	rd := r.Ready()
+	r.Advance()
+	return rd.Messages
+}
+
+func elect(t *testing.T, r *Raft, voters ...uint64) {
+	now := time.Unix(0, 0)
+	for range 20 {
+		r.Tick(now)
+	}
+	for _, kind := range []api.ReplicaMessage_Kind{api.ReplicaMessage_KIND_PRE_VOTE_REPLY, api.ReplicaMessage_KIND_VOTE_REPLY} {
+		for _, v := range voters {
+			r.Step(now, &api.ReplicaMessage{Kind: kind, From: ref(v), To: r.cfg.Self, Term: 2})
+		}
+	}
+	require.Equal(t, Leader, r.Role())
+	take(r)
+}
+
+// TestOtherDiskIsIgnored guards against a replica that lost its disk and whose
+// messages count for its former identity.
+func TestOtherDiskIsIgnored(t *testing.T) {
+	r := replica(t, 1, &api.ReplicaSet{Voters: refs(1, 2, 3)})
+	for range 20 {
+		r.Tick(time.Unix(0, 0))
+	}
+	former := &api.ReplicaRef{Id: 2, DiskId: "another"}
+	granted := &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_PRE_VOTE_REPLY, From: former, To: ref(1), Term: 2}
+	r.Step(time.Unix(0, 0), granted)
+	require.Equal(t, PreCandidate, r.Role())
+	r.Step(time.Unix(0, 0), &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_PRE_VOTE, From: ref(2), To: &api.ReplicaRef{Id: 1, DiskId: "another"}, Term: 9})
+	require.EqualValues(t, 2, r.Status().Foreign)
+	granted.From = ref(2)
+	r.Step(time.Unix(0, 0), granted)
+	require.Equal(t, Candidate, r.Role())
+}
+
+// TestRemovedReplicaStartsElections guards against a group that is stuck when
+// the only complete log is that of the leader being replaced: the others need
+// its vote, and it must not wait for a leader.
+func TestRemovedReplicaStartsElections(t *testing.T) {
+	sets := []*api.ReplicaSet{
+		{Voters: refs(1, 2, 3)},
+		{Voters: refs(4, 2, 3), OldVoters: refs(1, 2, 3)},
+		{Voters: refs(4, 2, 3)},
+	}
+	r := replica(t, 1, sets...)
+	elect(t, r, 2, 4)
+	committed := New(Config{Self: ref(1), Entries: r.log.entries, HardState: HardState{Term: 2, Commit: 4}})
+	for range 20 {
+		committed.Tick(time.Unix(0, 0))
+	}
+	require.Equal(t, Follower, committed.Role(), "the removal is committed")
+}
+
+// TestLearnerGetsCommittedEntries guards against a learner that holds more
+// than the candidates and refuses a vote that a joint configuration needs.
+func TestLearnerGetsCommittedEntries(t *testing.T) {
+	r := replica(t, 1, &api.ReplicaSet{Voters: refs(1, 2, 3), Learners: refs(4), Replacing: 3})
+	elect(t, r, 2)
+	_, _, err := r.Propose([]byte("command"))
+	require.NoError(t, err)
+	reply := func(from, index uint64) {
+		r.Step(time.Unix(0, 0), &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_APPEND_REPLY, From: ref(from), To: ref(1), Term: 2, LogIndex: index})
+	}
+	reply(2, 1)
+	reply(4, 1)
+	for _, m := range take(r) {
+		if m.Kind == api.ReplicaMessage_KIND_APPEND && m.To.Id == 4 {
+			require.Empty(t, m.Entries)
+		}
+	}
+	reply(2, 3)
+	sent := 0
+	for _, m := range take(r) {
+		if m.To.Id == 4 {
+			sent += len(m.Entries)
+		}
+	}
+	require.Positive(t, sent)
+}
+
+// TestDeadLearnerIsNotPromoted guards against a joint configuration with a
+// replica that has caught up once and was then lost.
+func TestDeadLearnerIsNotPromoted(t *testing.T) {
+	r := replica(t, 1, &api.ReplicaSet{Voters: refs(1, 2, 3), Learners: refs(4), Replacing: 3})
+	elect(t, r, 2)
+	learner := r.progress[4]
+	learner.state, learner.match, learner.active = replicating, 1, false
+	r.Step(time.Unix(0, 0), &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_APPEND_REPLY, From: ref(2), To: ref(1), Term: 2, LogIndex: 2})
+	require.EqualValues(t, 2, r.Status().Commit)
+	require.Empty(t, r.Status().Set.OldVoters)
+	r.Step(time.Unix(0, 0), &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_APPEND_REPLY, From: ref(4), To: ref(1), Term: 2, LogIndex: 2})
+	require.NotEmpty(t, r.Status().Set.OldVoters)
+}
+
+// TestHeartbeatTwiceAfterRestart guards against a fresh confirmation from an
+// old heartbeat: the replica answered a round, restarted, got the same round
+// again, and then a heartbeat that was sent between the two.
+func TestHeartbeatTwiceAfterRestart(t *testing.T) {
+	start := time.Unix(0, 0)
+	heartbeat := func(sequence, echo uint64) *api.ReplicaMessage {
+		return &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_HEARTBEAT, From: ref(2), To: ref(1), Term: 2, Sequence: sequence, Echo: echo, LogIndex: 1}
+	}
+	set := &api.ReplicaSet{Voters: refs(1, 2, 3)}
+	r := replica(t, 1, set)
+	r.Step(start, heartbeat(5, 0))
+	echo := take(r)[0].Echo
+	restarted := replica(t, 1, set)
+	restarted.replies.token = 1 << 40
+	restarted.Step(start.Add(time.Hour), heartbeat(5, 0))
+	restarted.Step(start.Add(time.Hour), heartbeat(6, echo))
+	_, ok := restarted.ConfirmationAge(start.Add(time.Hour))
+	require.False(t, ok)
+
+	r.Step(start.Add(time.Hour), heartbeat(6, echo))
+	age, ok := r.ConfirmationAge(start.Add(time.Hour))
+	require.True(t, ok)
+	require.Equal(t, time.Hour, age)
+}
+
+// TestReplacementErrors guards against replacements that would mix up
+// identities or run at the same time.
+func TestReplacementErrors(t *testing.T) {
+	r := replica(t, 1, &api.ReplicaSet{Voters: refs(1, 2, 3)})
+	var notLeader *NotLeaderError
+	_, _, err := r.ProposeReplace(3, ref(4))
+	require.ErrorAs(t, err, &notLeader)
+	elect(t, r, 2)
+	var notReady *NotReadyError
+	_, _, err = r.ProposeReplace(3, ref(4))
+	require.ErrorAs(t, err, &notReady)
+	r.Step(time.Unix(0, 0), &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_APPEND_REPLY, From: ref(2), To: ref(1), Term: 2, LogIndex: 2})
+	var id *ReplicaIDError
+	_, _, err = r.ProposeReplace(3, &api.ReplicaRef{Id: 3, DiskId: "another"})
+	require.ErrorAs(t, err, &id)
+	_, _, err = r.ProposeReplace(9, ref(4))
+	require.ErrorAs(t, err, &id)
+	_, _, err = r.ProposeReplace(3, ref(4))
+	require.NoError(t, err)
+	_, _, err = r.ProposeReplace(3, ref(4))
+	require.NoError(t, err, "a resent replacement")
+	var inProgress *ReplacementInProgressError
+	_, _, err = r.ProposeReplace(2, ref(5))
+	require.ErrorAs(t, err, &inProgress)
+	require.EqualValues(t, 4, inProgress.NewID)
+}
--- a/core/raft/replace.go
+++ b/core/raft/replace.go
@@ -120,9 +120,11 @@
 // behind; this many entries are sent in one or two appends.
 const catchUpMargin = 256
 
+// caughtUp also requires that the learner was heard since the last check of
+// the quorum: a dead learner must not become a voter.
 func (r *Raft) caughtUp(id uint64) bool {
 	p := r.progress[id]
-	return p != nil && p.state == replicating && p.match+catchUpMargin >= r.log.committed
+	return p != nil && p.active && p.state == replicating && p.match+catchUpMargin >= r.log.committed
 }
 
 func jointSet(set *api.ReplicaSet) *api.ReplicaSet {
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -58,7 +58,7 @@
 		r.sendSnapshot(p)
 		return false
 	}
-	entries := r.log.slice(p.next, r.log.last(), r.cfg.MaxAppendBytes)
+	entries := r.log.slice(p.next, r.sendLimit(p), r.cfg.MaxAppendBytes)
 	wanted := len(entries) > 0 || p.forced || p.state == probing || p.sent < r.log.committed
 	if !wanted {
 		return false
@@ -80,6 +80,17 @@
 	return true
 }
 
+// sendLimit is the last index that a replica gets. A learner gets committed
+// entries only: with others it could be ahead of all candidates and refuse its
+// vote, when a joint configuration makes that vote necessary, while it does not
+// know yet that it is a voter and may start an election itself.
+func (r *Raft) sendLimit(p *progress) uint64 {
+	if contains(r.sets.current().Learners, p.ref.Id) {
+		return r.log.committed
+	}
+	return r.log.last()
+}
+
 func (r *Raft) handleAppend(m *api.ReplicaMessage) {
 	reply := &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_APPEND_REPLY, Term: r.term}
 	defer r.send(m.From, reply)
