daemon: tests of truncated and crossed answers, cancellation, drain, allowance, claims

Cause: each of these promises needs a test with real listeners. Change: integration tests; an empty body goes out as Content-Length: 0 instead of an empty chunked body, because a Go handler that does not read a chunked body never notices that its caller has left (found by TestKillEndsRun, which hung). The idempotency key reaches the handler under a spelling that net/http does not treat as permission to resend.

--- a/daemon/body.go
+++ b/daemon/body.go
@@ -70,13 +70,18 @@
 // resendable reports whether another attempt could send the whole body.
 func (b *body) resendable() bool { return b.stream == nil || !b.started.Load() }
 
-// reader returns the body for one attempt. It is never nil and has no GetBody
-// counterpart: net/http must not send a request again by itself.
-func (b *body) reader() io.ReadCloser {
-	if b.stream == nil {
-		return io.NopCloser(bytes.NewReader(b.whole))
+// reader returns the body for one attempt, without a GetBody counterpart. An
+// empty body is nil where that is safe: sent as "Content-Length: 0" it lets
+// the receiving server notice at once when the sender leaves, which it cannot
+// before a chunked body has been read.
+func (b *body) reader(always bool) io.ReadCloser {
+	switch {
+	case b.stream != nil:
+		return streamBody{b}
+	case len(b.whole) == 0 && !always:
+		return nil
 	}
-	return streamBody{b}
+	return io.NopCloser(bytes.NewReader(b.whole))
 }
 
 // streamBody is the body of an attempt that copies a stream. Closing it leaves
--- /dev/null
+++ b/daemon/claims_test.go
@@ -0,0 +1,272 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+)
+
+var errNoQuorum = errors.New("no quorum")
+
+// fakeClaims is a claim group in memory. With unreachable set it records
+// nothing; with answerLost it records and then fails.
+type fakeClaims struct {
+	mu          sync.Mutex
+	claims      map[string]*fakeClaim
+	unreachable bool
+	answerLost  bool
+	expired     bool // unfinished claims count as unknown
+}
+
+type fakeClaim struct {
+	claimant    string
+	fingerprint []byte
+	answer      *api.StoredAnswer
+}
+
+func newFakeClaims() *fakeClaims { return &fakeClaims{claims: make(map[string]*fakeClaim)} }
+
+func (f *fakeClaims) Claim(_ context.Context, r *api.ClaimRequest) (*api.ClaimResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreachable {
+		return nil, errNoQuorum
+	}
+	held := f.claims[r.GetKey().GetKey()]
+	if held == nil {
+		f.claims[r.GetKey().GetKey()] = &fakeClaim{claimant: r.GetClaimant(), fingerprint: r.GetFingerprint()}
+		if f.answerLost {
+			return nil, errNoQuorum
+		}
+		return &api.ClaimResponse{Status: api.ClaimStatus_CLAIM_STATUS_GRANTED}, nil
+	}
+	switch {
+	case !bytes.Equal(held.fingerprint, r.GetFingerprint()):
+		return &api.ClaimResponse{Status: api.ClaimStatus_CLAIM_STATUS_KEY_REUSED}, nil
+	case held.answer != nil:
+		return &api.ClaimResponse{Status: api.ClaimStatus_CLAIM_STATUS_FINISHED, Answer: held.answer}, nil
+	case f.expired:
+		return &api.ClaimResponse{Status: api.ClaimStatus_CLAIM_STATUS_UNKNOWN}, nil
+	}
+	return &api.ClaimResponse{Status: api.ClaimStatus_CLAIM_STATUS_IN_PROGRESS}, nil
+}
+
+func (f *fakeClaims) Finish(_ context.Context, r *api.FinishClaimRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreachable {
+		return errNoQuorum
+	}
+	f.claims[r.GetKey().GetKey()].answer = r.GetAnswer()
+	return nil
+}
+
+func (f *fakeClaims) Release(_ context.Context, r *api.ReleaseClaimRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreachable {
+		return errNoQuorum
+	}
+	if held := f.claims[r.GetKey().GetKey()]; held != nil && held.claimant == r.GetClaimant() && held.answer == nil {
+		delete(f.claims, r.GetKey().GetKey())
+	}
+	return nil
+}
+
+func (f *fakeClaims) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeClaims) stored(key string) *api.StoredAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.claims[key]; held != nil {
+		return held.answer
+	}
+	return nil
+}
+
+func (f *fakeClaims) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.claims)
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	require.NoError(t, err)
+	return id.String()
+}
+
+// claimNodes starts a service of two upstreams that share a claim group, and
+// an edge.
+func claimNodes(t *testing.T, claims Claimer, h http.Handler) (edge *node, backs []*node) {
+	t.Helper()
+	for _, id := range []string{"b-1", "b-2"} {
+		cfg := nodeConfig(id, "b")
+		cfg.Claims = claims
+		backs = append(backs, startNode(t, cfg, h))
+	}
+	edge = startNode(t, nodeConfig("edge-1", ""), nil)
+	connect(t, []declaration.Service{testService("b",
+		testRoute("order", "POST", "/orders", false), testRoute("look", "GET", "/orders", true))}, append(backs, edge)...)
+	return edge, backs
+}
+
+// TestRepeatGetsStoredAnswer guards P5 and the answer of a repeat, whichever
+// upstream it reaches.
+func TestRepeatGetsStoredAnswer(t *testing.T) {
+	var runs atomic.Int32
+	claims := newFakeClaims()
+	edge, _ := claimNodes(t, claims, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		require.NotEmpty(t, r.Header.Get(headerKey))
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(201)
+		_, _ = io.WriteString(w, "order 17")
+	}))
+	key := newKey(t)
+	for i := range 5 {
+		resp := edge.ask("POST", "/b/orders", strings.NewReader("laminate"), headerKey, strings.ToUpper(key))
+		require.Equal(t, "order 17", readAll(t, resp))
+		require.Equal(t, 201, resp.StatusCode)
+		require.Equal(t, "text/plain", resp.Header.Get("Content-Type"))
+		require.Equal(t, i > 0, resp.Header.Get(headerReplayed) != "")
+		require.Eventually(t, func() bool { return claims.stored(key) != nil }, generous, time.Millisecond)
+	}
+	require.EqualValues(t, 1, runs.Load())
+	resp := edge.ask("POST", "/b/orders", strings.NewReader("other work"), headerKey, key)
+	requireRefusal(t, resp, 409, chain.NotRun, chain.ReasonKeyReused)
+}
+
+// TestLargeAnswerIsOmitted guards against a cut stored answer that a repeat
+// would take for the whole one.
+func TestLargeAnswerIsOmitted(t *testing.T) {
+	for name, size := range map[string]int{"held whole": storedAnswerBytes + 1, "streamed": 4 * smallBody} {
+		t.Run(name, func(t *testing.T) {
+			claims := newFakeClaims()
+			edge, _ := claimNodes(t, claims, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+			}))
+			key := newKey(t)
+			require.Len(t, readAll(t, edge.ask("POST", "/b/orders", nil, headerKey, key)), size)
+			require.Eventually(t, func() bool { return claims.stored(key) != nil }, generous, time.Millisecond)
+			require.True(t, claims.stored(key).GetBodyOmitted())
+			resp := edge.ask("POST", "/b/orders", nil, headerKey, key)
+			requireRefusal(t, resp, 409, chain.OK, chain.ReasonKeyFinished)
+		})
+	}
+}
+
+// TestCrashBetweenClaimAndFinish guards P5 when the upstream dies while it
+// runs: the key never runs again, and repeats are told the truth.
+func TestCrashBetweenClaimAndFinish(t *testing.T) {
+	var runs atomic.Int32
+	claims := newFakeClaims()
+	edge, _ := claimNodes(t, claims, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	key := newKey(t)
+	requireRefusal(t, edge.ask("POST", "/b/orders", nil, headerKey, key), 502, chain.Unknown, chain.ReasonUpstreamError)
+	resp := edge.ask("POST", "/b/orders", nil, headerKey, key)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	requireRefusal(t, resp, 409, chain.Unknown, chain.ReasonInProgress)
+	claims.set(func() { claims.expired = true })
+	requireRefusal(t, edge.ask("POST", "/b/orders", nil, headerKey, key), 409, chain.Unknown, chain.ReasonClaimUnknown)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// TestClaimsUnavailable guards P4: the refusal says not-run, nothing runs, and
+// a claim that was recorded although its answer was lost is released.
+func TestClaimsUnavailable(t *testing.T) {
+	var runs atomic.Int32
+	claims := newFakeClaims()
+	edge, _ := claimNodes(t, claims, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = io.WriteString(w, "done")
+	}))
+	claims.set(func() { claims.unreachable = true })
+	key := newKey(t)
+	requireRefusal(t, edge.ask("POST", "/b/orders", nil, headerKey, key), 503, chain.NotRun, chain.ReasonClaimsUnavailable)
+	require.Equal(t, "done", readAll(t, edge.ask("GET", "/b/orders", nil, headerKey, key)), "idempotent work needs no claim")
+	claims.set(func() { claims.unreachable, claims.answerLost = false, true })
+	other := newKey(t)
+	resp := edge.ask("POST", "/b/orders", nil, headerKey, other)
+	require.Equal(t, 1, int(runs.Load()), readAll(t, resp))
+	require.Eventually(t, func() bool { return claims.held() == 0 }, generous, time.Millisecond)
+	claims.set(func() { claims.answerLost = false })
+	require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/orders", nil, headerKey, key)))
+}
+
+// TestProvedNotRunReleasesKey guards against a key that stays blocked although
+// the upstream was not reached.
+func TestProvedNotRunReleasesKey(t *testing.T) {
+	claims := newFakeClaims()
+	edge, backs := claimNodes(t, claims, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "done")
+	}))
+	backs[0].upstream.Close()
+	for range 2 { // the retry budget starts with two
+		require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/orders", nil, headerKey, newKey(t))))
+	}
+	backs[1].upstream.Close()
+	requireRefusal(t, edge.ask("POST", "/b/orders", nil, headerKey, newKey(t)), 503, chain.NotRun, chain.ReasonConnect)
+	require.Equal(t, 2, claims.held())
+}
+
+// TestKeyedWorkFinishesWithoutCaller guards against keyed work that is broken
+// off half-way when its caller leaves: it ends and its answer is kept.
+func TestKeyedWorkFinishesWithoutCaller(t *testing.T) {
+	for name, size := range map[string]int{"small": 8, "streamed": -1} {
+		t.Run(name, func(t *testing.T) {
+			claims := newFakeClaims()
+			entered, left := make(chan struct{}), make(chan struct{})
+			edge, backs := claimNodes(t, claims, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if size < 0 {
+					_, _ = io.WriteString(w, "the ")
+					_ = http.NewResponseController(w).Flush()
+				}
+				close(entered)
+				<-left
+				_, _ = io.WriteString(w, "answer")
+			}))
+			key := newKey(t)
+			leave := askAndLeave(t, edge, "POST", "/b/orders", "a job", headerKey, key)
+			waitFor(t, entered)
+			leave()
+			require.Eventually(t, func() bool { return edge.d.metrics.failed() == 1 }, generous, time.Millisecond)
+			backs[0].stop()
+			backs[1].stop()
+			close(left)
+			require.Eventually(t, func() bool { return claims.stored(key) != nil }, generous, time.Millisecond)
+			require.True(t, strings.HasSuffix(string(claims.stored(key).GetBody()), "answer"))
+			require.NoError(t, backs[0].waitEnded())
+			require.NoError(t, backs[1].waitEnded())
+		})
+	}
+}
+
+// failed is the number of calls that did not end with outcome ok.
+func (m *metrics) failed() (n int64) {
+	m.outcomes.Do(func(kv expvar.KeyValue) { n += kv.Value.(*expvar.Int).Value() })
+	return n
+}
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -181,3 +182,42 @@
 		}, generous, time.Millisecond)
 	}
 }
+
+// upstreamsOf lists upstreams by address only.
+func upstreamsOf(service string, addresses ...string) map[string][]balance.Upstream {
+	out := make(map[string][]balance.Upstream)
+	for _, address := range addresses {
+		out[service] = append(out[service], balance.Upstream{
+			ID: service + "@" + address, Address: address, Region: testRegion, AvailabilityZone: testZone, Slots: 8,
+		})
+	}
+	return out
+}
+
+// waitFor receives from a channel with a generous limit.
+func waitFor[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(generous):
+		require.FailNow(t, "nothing came")
+		panic("not reached")
+	}
+}
+
+func contextOf(t testing.TB) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return ctx, cancel
+}
+
+// closedFor reports whether an address refuses connections.
+func closedFor(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
--- a/daemon/headers.go
+++ b/daemon/headers.go
@@ -120,15 +120,6 @@
 	return id.String(), nil
 }
 
-// keyTime is the creation time of a key that parseKey accepted.
-func keyTime(key string) time.Time {
-	id, err := uuid.Parse(key)
-	if err != nil {
-		return time.Time{}
-	}
-	return time.Unix(id.Time().UnixTime())
-}
-
 // headerSize is the size of all headers as net/http counts them on the wire.
 func headerSize(h http.Header) int {
 	n := 0
--- /dev/null
+++ b/daemon/lifecycle_test.go
@@ -0,0 +1,241 @@
+package daemon
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+)
+
+// TestCallerLeavesWhileRunning guards against work that goes on for a caller
+// who has left: the handler two services down must see the cancellation.
+func TestCallerLeavesWhileRunning(t *testing.T) {
+	entered, cancelled := make(chan struct{}), make(chan struct{})
+	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	var front *node
+	front = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		resp, err := callBelow(t.Context(), front, r.Header.Get(headerChain), "GET", "/deep/x")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}))
+	edge := startNode(t, nodeConfig("edge-1", ""), nil)
+	connect(t, []declaration.Service{
+		testService("front", testRoute("x", "POST", "/x", true)),
+		testService("deep", testRoute("x", "GET", "/x", true)),
+	}, deep, front, edge)
+	leave := askAndLeave(t, edge, "POST", "/front/x", "")
+	waitFor(t, entered)
+	leave()
+	waitFor(t, cancelled)
+}
+
+// TestCallerLeavesQueue guards against queued work that runs, or keeps its
+// place, after its caller has left.
+func TestCallerLeavesQueue(t *testing.T) {
+	var runs atomic.Int32
+	entered, release := make(chan struct{}, 4), make(chan struct{})
+	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		entered <- struct{}{}
+		<-release
+	}))
+	edge := startNode(t, nodeConfig("edge-1", ""), nil)
+	svc := testService("b", testRoute("x", "POST", "/x", true))
+	svc.Slots = 1
+	connect(t, []declaration.Service{svc}, back, edge)
+	stay := askAndLeave(t, edge, "POST", "/b/x", "")
+	waitFor(t, entered)
+	leave := askAndLeave(t, edge, "POST", "/b/x", "a small body")
+	require.Eventually(t, func() bool { return back.d.Status().Queued == 1 }, generous, time.Millisecond)
+	leave()
+	require.Eventually(t, func() bool { return back.d.Status().Queued == 0 }, generous, time.Millisecond)
+	close(release)
+	require.Eventually(t, func() bool { return back.d.Status().InFlight == 0 }, generous, time.Millisecond)
+	stay()
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// askAndLeave starts a request and returns a function that breaks it off.
+func askAndLeave(t *testing.T, n *node, method, path, body string, headers ...string) (leave func()) {
+	t.Helper()
+	var content io.Reader
+	if body != "" {
+		content = strings.NewReader(body)
+	}
+	r, err := http.NewRequest(method, "http://"+n.d.Addresses().Entrance+path, content)
+	require.NoError(t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	ctx, cancel := contextOf(t)
+	go func() {
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r.WithContext(ctx))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	return cancel
+}
+
+// TestDrainWithSlowUpload guards P7: a planned stop of the upstream's daemon
+// and of the entrance interrupts no upload, and the exit listener serves the
+// handler to its end.
+func TestDrainWithSlowUpload(t *testing.T) {
+	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "stored")
+	}))
+	started := make(chan struct{})
+	var photos *node
+	photos = startNode(t, nodeConfig("photos-1", "photos"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		n, err := io.Copy(io.Discard, r.Body)
+		if err != nil {
+			w.WriteHeader(500)
+			return
+		}
+		resp, err := callBelow(r.Context(), photos, r.Header.Get(headerChain), "GET", "/deep/x")
+		if err != nil {
+			w.WriteHeader(500)
+			return
+		}
+		below, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		_, _ = io.WriteString(w, string(below)+strings.Repeat(".", int(n/100_000)))
+	}))
+	edge := startNode(t, nodeConfig("edge-1", ""), nil)
+	upload := testRoute("upload", "POST", "/upload", false)
+	upload.Body = declaration.BodyStream
+	connect(t, []declaration.Service{
+		testService("photos", upload), testService("deep", testRoute("x", "GET", "/x", true)),
+	}, deep, photos, edge)
+	waitServing(t, deep, photos, edge)
+
+	body, sender := io.Pipe()
+	answer := make(chan *http.Response, 1)
+	go func() {
+		resp, err := edge.tryAsk("POST", "/photos/upload", body)
+		if err == nil {
+			answer <- resp
+		}
+	}()
+	part := strings.Repeat("p", 100_000)
+	_, err := io.WriteString(sender, part)
+	require.NoError(t, err)
+	waitFor(t, started)
+	photos.stop()
+	resp, err := http.Post("http://"+edge.d.Addresses().Admin+"/drain", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusAccepted, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+	require.Eventually(t, func() bool { return closedFor(edge.d.Addresses().Entrance) && closedFor(photos.d.Addresses().Peer) },
+		generous, time.Millisecond)
+	require.Equal(t, api.UpstreamState_UPSTREAM_STATE_DRAINING, photos.d.State())
+	for range 4 {
+		_, err = io.WriteString(sender, part)
+		require.NoError(t, err)
+	}
+	require.NoError(t, sender.Close())
+	require.Equal(t, "stored.....", readAll(t, waitFor(t, answer)))
+	require.NoError(t, photos.waitEnded())
+	require.NoError(t, edge.waitEnded())
+	require.Equal(t, api.UpstreamState_UPSTREAM_STATE_GONE, photos.d.State())
+}
+
+// TestDrainingGateRefuses guards P6 for daemons that do not know of the drain
+// yet: new work is refused as not-run and goes elsewhere.
+func TestDrainingGateRefuses(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+	cfg := nodeConfig("b-1", "b")
+	cfg.DrainDelay = generous
+	leaving, staying := startNode(t, cfg, h), startNode(t, nodeConfig("b-2", "b"), h)
+	edge := startNode(t, nodeConfig("edge-1", ""), nil)
+	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, leaving, staying, edge)
+	leaving.stop()
+	require.Eventually(t, func() bool { return leaving.d.State() == api.UpstreamState_UPSTREAM_STATE_DRAINING }, generous, time.Millisecond)
+	for range 6 {
+		require.Equal(t, "served", readAll(t, edge.ask("POST", "/b/y", nil)))
+	}
+	own := leaving.ask("POST", "/b/y", nil)
+	require.Equal(t, "served", readAll(t, own), "the entrance of a leaving daemon routes to others")
+	alone := startNode(t, nodeConfig("edge-2", ""), nil)
+	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, leaving, alone)
+	requireRefusal(t, alone.ask("POST", "/b/y", nil), 503, chain.NotRun, chain.ReasonDraining)
+}
+
+// countingBody counts what is read of a request body.
+type countingBody struct {
+	io.Reader
+	read atomic.Int64
+}
+
+func (c *countingBody) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestRefusedBeforeBody guards against an upload that crosses two daemons only
+// to be refused, and checks that the unread body can still go elsewhere.
+func TestRefusedBeforeBody(t *testing.T) {
+	cfg := nodeConfig("b-1", "b")
+	cfg.DrainDelay = generous
+	leaving := startNode(t, cfg, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	edge := startNode(t, nodeConfig("edge-1", ""), nil)
+	services := []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}
+	connect(t, services, leaving, edge)
+	leaving.d.startDrain()
+	body := &countingBody{Reader: strings.NewReader(strings.Repeat("x", 4<<20))}
+	requireRefusal(t, askExpect(t, edge, body), 503, chain.NotRun, chain.ReasonDraining)
+	require.Zero(t, body.read.Load())
+
+	staying := startNode(t, nodeConfig("b-2", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, strings.Repeat("m", int(n>>20)))
+	}))
+	edge = startNode(t, nodeConfig("edge-2", ""), nil)
+	connect(t, services, leaving, staying, edge)
+	for range 4 {
+		body = &countingBody{Reader: strings.NewReader(strings.Repeat("x", 4<<20))}
+		require.Equal(t, "mmmm", readAll(t, askExpect(t, edge, body)))
+	}
+}
+
+func askExpect(t *testing.T, n *node, body io.Reader) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest("POST", "http://"+n.d.Addresses().Entrance+"/b/y", body)
+	require.NoError(t, err)
+	r.ContentLength = 4 << 20
+	r.Header.Set("Expect", "100-continue")
+	resp, err := (&http.Transport{ExpectContinueTimeout: generous, DisableKeepAlives: true}).RoundTrip(r)
+	require.NoError(t, err)
+	return resp
+}
+
+// TestKillEndsRun guards against a forced stop that waits for requests.
+func TestKillEndsRun(t *testing.T) {
+	entered := make(chan struct{})
+	n := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+	}))
+	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, n)
+	leave := askAndLeave(t, n, "POST", "/b/y", "")
+	defer leave()
+	waitFor(t, entered)
+	n.stop()
+	n.d.Kill()
+	require.NoError(t, n.waitEnded())
+}
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -82,11 +82,15 @@
 	h[headerClass] = []string{e.ctx.Priority.Class().String()}
 	h[headerDeadline] = []string{remainingMs(e.ctx.Remaining(in.d.cfg.Now()))}
 	if e.ctx.Key != "" {
-		h[headerKey] = []string{e.ctx.Key}
+		h[handlerKey] = []string{e.ctx.Key}
 	}
 	return h
 }
 
+// handlerKey is Idempotency-Key in a form that net/http writes but does not
+// recognise, as it resends requests that carry the canonical form.
+const handlerKey = "idempotency-key"
+
 // localService is the upstream beside this daemon.
 type localService struct {
 	address   string // host:port
--- a/daemon/send.go
+++ b/daemon/send.go
@@ -65,8 +65,9 @@
 	}
 }
 
-// request builds a request that net/http cannot send again by itself: its body
-// is never nil and has no GetBody.
+// request builds a request that net/http cannot send again by itself once a
+// byte was written: it resends only what has a replayable method or an
+// idempotency key header, and either no body or a GetBody.
 func (o *outgoing) request(ctx context.Context, s *sent) *http.Request {
 	r := &http.Request{
 		Method:        o.method,
@@ -76,7 +77,7 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        o.header,
-		Body:          o.body.reader(),
+		Body:          o.body.reader(replayable(o.method)),
 		ContentLength: o.body.length,
 	}
 	if o.expect && o.body.stream != nil {
@@ -85,6 +86,15 @@
 	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn}))
 }
 
+// replayable lists the methods that net/http would send again.
+func replayable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // failure types the error of an attempt. Not-run needs a count of zero bytes.
 func (o *outgoing) failure(ctx context.Context, written int64, err error) *chain.Failure {
 	outcome := chain.Unknown
