daemon: tests of bodies, protocols, admin interface and headers; full duplex answers

Cause: a handler that answers while it still reads lost the rest of the request body, because net/http drains it when the headers are written (found by TestStreamedBodies). Change: streamed answers enable full duplex; failures that the sender of a request caused no longer count against the upstream in balancer and gate; fuzz tests of headers.

--- /dev/null
+++ b/daemon/admin_test.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+)
+
+// TestAnnounce guards against an announcement that sends a service's requests
+// to another service or another VM, and checks the way to the serving state.
+func TestAnnounce(t *testing.T) {
+	n := startNode(t, nodeConfig("a-1", "a"), nil)
+	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n)
+	url := "http://" + n.d.Addresses().Admin + "/announce"
+	for _, body := range []string{
+		`{"service":"b","address":"http://127.0.0.1:1"}`,
+		`{"service":"a","address":"http://192.0.2.1:80"}`,
+		`{"service":"a","address":"https://127.0.0.1:1"}`,
+		`{"service":"a","address":"127.0.0.1:1"}`,
+		`{"service":"a"}`, `{"service":"a","address":"http://127.0.0.1:1","more":1}`, `not json`,
+	} {
+		resp, err := http.Post(url, "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		requireRefusal(t, resp, 400, chain.NotRun, chain.ReasonBadRequest)
+	}
+	require.Equal(t, api.UpstreamState_UPSTREAM_STATE_STARTING, n.d.State())
+	before, ok := n.d.Announcement()
+	require.True(t, ok)
+	resp, err := http.Post(url, "application/json", strings.NewReader(`{"service":"a","address":"http://127.0.0.1:1"}`))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+	after, _ := n.d.Announcement()
+	require.Equal(t, api.UpstreamState_UPSTREAM_STATE_SERVING, after.GetState())
+	require.Greater(t, after.GetSequence(), before.GetSequence())
+	require.EqualValues(t, 8, after.GetSlots())
+	require.Equal(t, n.d.Addresses().Peer, after.GetPeerAddress())
+}
+
+// TestHealthOnlyLowers guards against a health endpoint that keeps an upstream
+// without an announcement in service, and one that fails unnoticed.
+func TestHealthOnlyLowers(t *testing.T) {
+	var healthy atomic.Bool
+	healthy.Store(true)
+	health := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !healthy.Load() {
+			w.WriteHeader(500)
+		}
+	})
+	probe := startNode(t, nodeConfig("probe", ""), nil)
+	server := newServerForTest(t, health)
+	cfg := nodeConfig("a-1", "a")
+	cfg.HealthURL, cfg.HealthEvery = server, 5*time.Millisecond
+	silent := startNode(t, cfg, nil)
+	cfg.ID = "a-2"
+	n := startNode(t, cfg, health)
+	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n, silent, probe)
+	waitServing(t, n, probe)
+	healthy.Store(false)
+	state := func(want api.UpstreamState) func() bool { return func() bool { return n.d.State() == want } }
+	require.Eventually(t, state(api.UpstreamState_UPSTREAM_STATE_STARTING), generous, time.Millisecond)
+	healthy.Store(true)
+	require.Eventually(t, state(api.UpstreamState_UPSTREAM_STATE_SERVING), generous, time.Millisecond)
+	require.Equal(t, api.UpstreamState_UPSTREAM_STATE_STARTING, silent.d.State())
+	_, ok := probe.d.Announcement()
+	require.False(t, ok)
+}
+
+// TestStatusAndVars guards the documents that operators and scripts read.
+func TestStatusAndVars(t *testing.T) {
+	n := startNode(t, nodeConfig("a-1", "a"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n)
+	require.Equal(t, 200, n.ask("GET", "/a/x", nil).StatusCode)
+	require.Equal(t, 404, n.ask("GET", "/a/y", nil).StatusCode)
+	var status Status
+	fetchJSON(t, n, "/status", &status)
+	require.Equal(t, "serving", status.State)
+	require.EqualValues(t, 1, status.ConfigurationVersion)
+	var vars struct {
+		Bilberrydeck struct {
+			Requests int            `json:"entrance_requests"`
+			OK       int            `json:"calls_ok"`
+			Failed   map[string]int `json:"calls_failed"`
+		} `json:"bilberrydeck"`
+	}
+	fetchJSON(t, n, "/debug/vars", &vars)
+	require.Equal(t, 2, vars.Bilberrydeck.Requests)
+	require.Equal(t, 1, vars.Bilberrydeck.OK)
+	require.Equal(t, map[string]int{"not-run/unknown-route": 1}, vars.Bilberrydeck.Failed)
+}
+
+func fetchJSON(t *testing.T, n *node, path string, into any) {
+	t.Helper()
+	resp, err := http.Get("http://" + n.d.Addresses().Admin + path)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal([]byte(readAll(t, resp)), into))
+}
+
+// TestSnapshotRules guards P8 within the process: versions do not revert, and
+// a declaration with bad patterns changes nothing.
+func TestSnapshotRules(t *testing.T) {
+	n := startNode(t, nodeConfig("a-1", "a"), nil)
+	good := testService("a", testRoute("x", "GET", "/x", true))
+	set := func(version uint64, svc declaration.Service) error {
+		return n.d.SetSnapshot(&Snapshot{Version: version, Confirmed: true, Services: map[string]declaration.Service{"a": svc}})
+	}
+	require.NoError(t, set(5, good))
+	require.ErrorAs(t, set(4, good), new(*SnapshotError))
+	require.ErrorAs(t, set(6, testService("a", testRoute("x", "GET", "x{", true))), new(*SnapshotError))
+	require.EqualValues(t, 5, n.d.Status().ConfigurationVersion)
+	good.Slots = 3
+	require.NoError(t, set(6, good))
+	a, _ := n.d.Announcement()
+	require.EqualValues(t, 3, a.GetSlots())
+}
+
+// TestConfigErrors guards the loopback rule for listeners without TLS.
+func TestConfigErrors(t *testing.T) {
+	for field, change := range map[string]func(*Config){
+		"id":       func(c *Config) { c.ID = "" },
+		"exit":     func(c *Config) { c.Exit = "0.0.0.0:0" },
+		"admin":    func(c *Config) { c.Admin = ":0" },
+		"peer":     func(c *Config) { c.Peer = "192.0.2.1:1" },
+		"upstream": func(c *Config) { c.Upstream = "http://192.0.2.1:80" },
+	} {
+		cfg := nodeConfig("a-1", "a")
+		change(&cfg)
+		_, err := New(cfg)
+		var bad *ConfigError
+		require.ErrorAs(t, err, &bad, field)
+		require.Equal(t, field, bad.Field)
+	}
+}
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -228,10 +228,15 @@
 // deliver passes a handler's answer on. A truncated one is reported, so that
 // the caller's connection is cut off.
 func (c *call) deliver(w http.ResponseWriter, a *attempt) (*chain.Failure, bool) {
-	announced := c.writeHead(w, a)
-	var broken *chain.Failure
+	announced := parseLength(a.answer.header.Get(headerPeerLength))
+	var cp *copier
 	if a.answer.resp != nil {
-		broken = c.copyBody(w, a, announced)
+		cp = newCopier(w, c.d.cfg.BodyStall, announced)
+	}
+	c.writeHead(w, a, announced)
+	var broken *chain.Failure
+	if cp != nil {
+		broken = a.answer.stream(c.ctx, cp, announced)
 	} else if c.method != http.MethodHead && bodyAllowed(a.answer.status) {
 		_, _ = w.Write(a.answer.whole) // the caller has left if this fails
 	}
@@ -248,14 +253,18 @@
 	return broken, true
 }
 
-func (c *call) copyBody(w http.ResponseWriter, a *attempt, announced int64) *chain.Failure {
-	cp := &copier{w: w, control: http.NewResponseController(w), stall: c.d.cfg.BodyStall, flush: announced < 0}
-	return a.answer.stream(c.ctx, cp, announced)
+// senderFault reports whether the sender of the request caused a failure.
+func senderFault(f *chain.Failure) bool {
+	switch f.Reason {
+	case chain.ReasonSlowBody, chain.ReasonBodyLength, chain.ReasonTooLarge, chain.ReasonCancelled:
+		return true
+	}
+	return false
 }
 
-// writeHead writes status and headers, and returns the announced length of a
-// body that is still to be copied.
-func (c *call) writeHead(w http.ResponseWriter, a *attempt) int64 {
+// writeHead writes status and headers. Announced is the length of a body that
+// is still to be copied, or that HEAD asked for.
+func (c *call) writeHead(w http.ResponseWriter, a *attempt, announced int64) {
 	h := w.Header()
 	passHeaders(h, a.answer.header)
 	h[headerRequestID] = a.answer.header[headerRequestID]
@@ -264,7 +273,6 @@
 			h[name] = v
 		}
 	}
-	announced := parseLength(a.answer.header.Get(headerPeerLength))
 	switch {
 	case c.method == http.MethodHead:
 		if announced >= 0 {
@@ -276,7 +284,6 @@
 		setLength(h, announced)
 	}
 	w.WriteHeader(a.answer.status)
-	return announced
 }
 
 // unused is the number of retries that came back with an answer.
@@ -300,6 +307,9 @@
 	result := balance.Result{Latency: now.Sub(a.started), Bytes: max(c.body.length, 0)}
 	if a.failure != nil {
 		result.Outcome, result.Reason, result.Deep = a.failure.Outcome, a.failure.Reason, a.failure.Deep
+		if senderFault(a.failure) {
+			result.Reason = chain.ReasonCancelled // says nothing about the upstream
+		}
 	}
 	if a.answer != nil {
 		result.Bytes += max(a.answer.length, 0)
--- a/daemon/copy.go
+++ b/daemon/copy.go
@@ -26,6 +26,15 @@
 	gone    bool           // the reader has left; the rest is read for keep only
 }
 
+// newCopier prepares to pass an answer on. It is called before the headers are
+// written: net/http would otherwise read the rest of the request body then, and
+// a handler that answers while it reads would lose it.
+func newCopier(w http.ResponseWriter, stall time.Duration, announced int64) *copier {
+	c := &copier{w: w, control: http.NewResponseController(w), stall: stall, flush: announced < 0}
+	_ = c.control.EnableFullDuplex() // HTTP/2 needs no permission
+	return c
+}
+
 // limitedBuffer keeps the first bytes of an answer.
 type limitedBuffer struct {
 	data  []byte
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -221,3 +221,10 @@
 	_ = conn.Close()
 	return false
 }
+
+func newServerForTest(t testing.TB, h http.Handler) (url string) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return server.URL
+}
--- /dev/null
+++ b/daemon/headers_test.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// FuzzParsePeer guards against peer headers that pass the checks with values
+// out of range, and against a panic.
+func FuzzParsePeer(f *testing.F) {
+	f.Add("req-1", "orders", "POST", "/x?y=1", "250", "1", "130", "2", "3", "", "7")
+	f.Add("", "", "", "", "", "", "", "", "", "", "")
+	f.Add("a b", "s", "GET", "//x", "-1", "0", "65535", "-2", "99", "not-a-key", "x")
+	f.Add("r", "s", "GET", "/", "600001", "4294967296", "384", "70000", "33", "01890a5d-ac96-774b-bcce-b302099a8057", "18446744073709551616")
+	f.Fuzz(func(t *testing.T, id, service, method, path, deadline, attempt, priority, allowance, depth, key, version string) {
+		h := http.Header{}
+		for name, v := range map[string]string{
+			headerRequestID: id, headerPeerService: service, headerPeerMethod: method, headerPeerPath: path,
+			headerDeadline: deadline, headerPeerAttempt: attempt, headerPeerPriority: priority,
+			headerPeerAllowance: allowance, headerPeerDepth: depth, headerPeerKey: key, headerPeerVersion: version,
+		} {
+			h.Set(name, v)
+		}
+		p, failure := parsePeer(h)
+		if failure != nil {
+			require.Equal(t, chain.NotRun, failure.Outcome)
+			return
+		}
+		require.True(t, validRequestID(p.context.RequestID))
+		require.Positive(t, p.context.Attempt)
+		require.Less(t, p.context.Priority, chain.MaxPriority)
+		require.GreaterOrEqual(t, p.allowance, 0)
+		require.LessOrEqual(t, p.depth, chain.MaxDepth)
+		require.True(t, p.remaining > 0 && p.remaining <= maxDeadline)
+		require.True(t, p.context.Key == "" || len(p.context.Key) == 36)
+	})
+}
+
+// FuzzReport guards against reports that do not survive the way to the other
+// daemon, and against a panic on malformed ones.
+func FuzzReport(f *testing.F) {
+	f.Add("0,8,3,1,0")
+	f.Add("384,1,1,1,384")
+	f.Add("1,2,3,4")
+	f.Add("1,2,3,4,5,6")
+	f.Add("-1,,x,4,9999999999999")
+	f.Fuzz(func(t *testing.T, value string) {
+		r := parseReport(value)
+		if r == nil {
+			return
+		}
+		require.LessOrEqual(t, r.Level, chain.MaxPriority)
+		require.Equal(t, r, parseReport(formatReport(*r)))
+	})
+}
+
+// FuzzCallerHeaders guards the headers that callers choose.
+func FuzzCallerHeaders(f *testing.F) {
+	f.Add("250", "01890a5d-ac96-774b-bcce-b302099a8057", "default")
+	f.Add("0", "{01890a5d-ac96-774b-bcce-b302099a8057}", "royal")
+	f.Add("99999999999999999999", "urn:uuid:01890a5d-ac96-774b-bcce-b302099a8057", "")
+	f.Fuzz(func(t *testing.T, deadline, key, class string) {
+		if d, failure := parseDeadline(deadline, time.Minute); failure == nil {
+			require.True(t, d > 0 && d <= time.Minute)
+		}
+		if k, failure := parseKey(key); failure == nil && k != "" {
+			require.Equal(t, strings.ToLower(key), k)
+			require.Equal(t, byte('7'), k[14])
+		}
+		if c, _, failure := classOf(class, chain.Default); failure == nil {
+			require.LessOrEqual(t, c, chain.Default)
+		}
+	})
+}
+
+// TestClassOnlyLowers guards against callers that raise themselves.
+func TestClassOnlyLowers(t *testing.T) {
+	c, raised, failure := classOf("critical", chain.Default)
+	require.Nil(t, failure)
+	require.True(t, raised)
+	require.Equal(t, chain.Default, c)
+	c, raised, _ = classOf("sheddable", chain.Default)
+	require.False(t, raised)
+	require.Equal(t, chain.Sheddable, c)
+}
+
+// TestPassHeaders guards against connection headers and the headers between
+// daemons that leak to the next hop.
+func TestPassHeaders(t *testing.T) {
+	src := http.Header{}
+	for _, name := range []string{"Accept", "X-Private", "Te", "Expect", headerPeerAllowance, headerChain, headerKey, idempotencyAlias} {
+		src.Set(name, "v")
+	}
+	src.Set("Connection", "close, x-private")
+	dst := http.Header{}
+	passHeaders(dst, src)
+	require.Equal(t, http.Header{"Accept": {"v"}}, dst)
+}
+
+// TestReportRoundTrip guards the order of the fields.
+func TestReportRoundTrip(t *testing.T) {
+	r := admit.Report{Level: 130, Limit: 8, InFlight: 3, Queued: 2, Below: 200}
+	require.Equal(t, "130,8,3,2,200", formatReport(r))
+	require.Equal(t, &r, parseReport(formatReport(r)))
+}
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -124,7 +124,7 @@
 // leave ends the run at the gate and closes the chain handle.
 func (in *inbound) leave(t *ticket, e *entry, failure *chain.Failure) (unused int) {
 	unused, below := e.end(in.d.cfg.Now())
-	ok := failure == nil || failure.Deep || failure.Outcome == chain.NotRun
+	ok := failure == nil || failure.Deep || failure.Outcome == chain.NotRun || senderFault(failure)
 	in.gate.leave(t, below, ok)
 	return unused
 }
@@ -162,11 +162,9 @@
 	if a.length >= 0 {
 		h[headerPeerLength] = []string{unusedText(int(a.length))}
 	}
+	cp := newCopier(in.w, in.d.cfg.BodyStall, a.length)
+	cp.keep = claimed.buffer()
 	in.w.WriteHeader(a.status)
-	cp := &copier{
-		w: in.w, control: http.NewResponseController(in.w), stall: in.d.cfg.BodyStall,
-		flush: a.length < 0, keep: claimed.buffer(),
-	}
 	broken := a.stream(ctx, cp, a.length)
 	if ctx.Err() != nil {
 		e.abort()
