--- a/control/config.go
+++ b/control/config.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/tls"
 	"io"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -32,6 +33,9 @@
 	// AdvertiseAddress is where other processes reach this one; empty means
 	// the listen address.
 	AdvertiseAddress string
+	// Dial maps advertised addresses of other replicas to the addresses to
+	// dial instead, where a forwarder or address translation lies between.
+	Dial map[string]string
 	// Peers holds the addresses of the first replica set by replica id, this
 	// replica included. It is not used once the group has state.
 	Peers map[uint64]string
@@ -46,7 +50,7 @@
 
 	Logger            *log.Logger // nil discards all lines
 	Clock             func() time.Time
-	Seed              uint64
+	Seed              uint64        // must differ at each start; 0 means a random one
 	TickInterval      time.Duration // 0 means 50 ms
 	SnapshotThreshold uint64        // applied entries between snapshots; 0 means 10,000
 
@@ -80,6 +84,9 @@
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
 	if c.TickInterval == 0 {
 		c.TickInterval = defaultTick
 	}
