--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -232,4 +232,5 @@
 	for _, s := range d.listeners.all() {
 		_ = s.http.Close() // forced
 	}
+	d.closeListeners() // of a daemon that was not run
 }
--- a/daemon/faults_test.go
+++ b/daemon/faults_test.go
@@ -121,12 +121,10 @@
 // TestRefusedConnectionIsNotRun guards the proof by a count of zero bytes: the
 // work is resent although it is not idempotent.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, closed.Close())
+	const closed = "127.0.0.1:1" // outside the range of ports that listeners are given
 	edge := startNode(t, nodeConfig("edge-1", ""), nil)
 	snapshot := connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, edge)
-	setUpstream(t, edge, snapshot, "b", closed.Addr().String())
+	setUpstream(t, edge, snapshot, "b", closed)
 	requireRefusal(t, edge.ask("POST", "/b/y", nil), 503, chain.NotRun, chain.ReasonConnect)
 
 	back := startNode(t, nodeConfig("b-2", "b"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -134,7 +132,7 @@
 	}))
 	edge = startNode(t, nodeConfig("edge-2", ""), nil)
 	snapshot = connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
-	setUpstream(t, edge, snapshot, "b", closed.Addr().String(), back.d.Addresses().Peer)
+	setUpstream(t, edge, snapshot, "b", closed, back.d.Addresses().Peer)
 	for range 2 { // the retry budget starts with two
 		require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/y", nil)))
 	}
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -21,6 +21,8 @@
 	tickets map[uint64]*ticket
 	next    uint64
 	slots   int
+
+	replaced bool
 }
 
 // ticket is one request at the gate.
@@ -47,7 +49,7 @@
 	}
 	if action, decided := g.withdraw(t); decided {
 		if action.Kind == admit.Run {
-			g.finish(t, admit.Result{})
+			g.finish(t, admit.Result{Cancelled: true})
 		}
 	}
 	tickets.Put(t)
@@ -88,9 +90,9 @@
 }
 
 // leave ends a run. Below is the time that the run spent in calls below.
-func (g *gate) leave(t *ticket, below time.Duration, ok bool) {
-	own := max(g.now().Sub(t.since)-below, 0)
-	g.finish(t, admit.Result{Own: own, OK: ok})
+func (g *gate) leave(t *ticket, below time.Duration, result admit.Result) {
+	result.Own = max(g.now().Sub(t.since)-below, 0)
+	g.finish(t, result)
 	tickets.Put(t)
 }
 
@@ -122,22 +124,38 @@
 	return g.core.Report(g.now())
 }
 
-// tick runs the periods of the admission core until ctx ends.
+// tick runs the periods of the admission core until ctx ends, or until the
+// gate has been replaced and is empty.
 func (g *gate) tick(ctx context.Context) {
 	ticker := time.NewTicker(gateTick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			g.mu.Lock()
-			g.deliver(g.core.Tick(g.now()))
-			g.mu.Unlock()
+			if !g.period() {
+				return
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// period reports whether the gate is still in use.
+func (g *gate) period() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.core.Tick(g.now()))
+	return !g.replaced || len(g.tickets) > 0 || g.core.InFlight() > 0
+}
+
+// retire marks a gate that new requests no longer use.
+func (g *gate) retire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replaced = true
+}
+
 // contextFailure types the end of a context.
 func contextFailure(ctx context.Context, outcome chain.Outcome, message string) *chain.Failure {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -124,8 +124,9 @@
 // leave ends the run at the gate and closes the chain handle.
 func (in *inbound) leave(t *ticket, e *entry, failure *chain.Failure) (unused int) {
 	unused, below := e.end(in.d.cfg.Now())
-	ok := failure == nil || failure.Deep || failure.Outcome == chain.NotRun || senderFault(failure)
-	in.gate.leave(t, below, ok)
+	result := admit.Result{OK: failure == nil || failure.Deep || failure.Outcome == chain.NotRun}
+	result.Cancelled = failure != nil && senderFault(failure)
+	in.gate.leave(t, below, result)
 	return unused
 }
 
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -104,7 +104,9 @@
 	if d.draining.Load() {
 		g.drain()
 	}
-	d.gate.Store(g)
+	if old := d.gate.Swap(g); old != nil {
+		old.retire()
+	}
 	go g.tick(d.killed)
 }
 
