daemon: three headers between daemons in place of eleven

Cause: net/http allocates twice for each header with an uncommon name. Change: method and path share one header, service and numbers another; the caller's Host stays the Host.

--- a/daemon/call.go
+++ b/daemon/call.go
@@ -27,7 +27,7 @@
 	host    string
 	header  http.Header // of the caller, read only
 	body    *body
-	version string
+	version uint64
 	tried   []string
 }
 
@@ -99,6 +99,7 @@
 		transport: c.svc.target.client(),
 		method:    http.MethodPost,
 		url:       &url.URL{Scheme: c.d.peerScheme, Host: choice.Upstream.Address, Path: "/"},
+		host:      c.host,
 		header:    c.peerHeader(a),
 		body:      c.body,
 		expect:    true,
@@ -142,26 +143,19 @@
 // peerHeader builds the headers of an attempt. Each attempt has its own map,
 // because net/http may read it after an attempt has been given up.
 func (c *call) peerHeader(a *attempt) http.Header {
-	h := make(http.Header, len(c.header)+14)
+	h := make(http.Header, len(c.header)+4)
 	passHeaders(h, c.header)
-	values := make([]string, 0, 12) // one allocation for all values
-	set := func(name, value string) {
-		values = append(values, value)
-		h[name] = values[len(values)-1 : len(values) : len(values)]
-	}
-	set(headerRequestID, c.context.RequestID)
-	set(headerPeerService, c.route.service)
-	set(headerPeerMethod, c.method)
-	set(headerPeerPath, c.path)
-	set(headerPeerHost, c.host)
-	set(headerPeerAttempt, strconv.FormatUint(uint64(a.number), 10))
-	set(headerPeerPriority, strconv.FormatUint(uint64(c.context.Priority), 10))
-	set(headerPeerAllowance, strconv.Itoa(a.share))
-	set(headerPeerDepth, strconv.Itoa(c.context.Depth))
-	set(headerDeadline, remainingMs(c.context.Remaining(a.started)))
-	set(headerPeerVersion, c.version)
+	p := peerRequest{
+		service: c.route.service, remaining: c.context.Remaining(a.started), allowance: a.share,
+		depth: c.context.Depth, context: c.context,
+	}
+	p.context.Attempt, p.context.Version = a.number, c.version
+	values := [...]string{c.context.RequestID, c.method + " " + c.path, formatPeer(&p), c.context.Key}
+	h[headerRequestID] = values[0:1:1]
+	h[headerPeerPath] = values[1:2:2]
+	h[headerPeerContext] = values[2:3:3]
 	if c.context.Key != "" {
-		set(headerPeerKey, c.context.Key)
+		h[headerPeerKey] = values[3:4:4]
 	}
 	return h
 }
--- a/daemon/entrance.go
+++ b/daemon/entrance.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -71,7 +70,7 @@
 	if headerSize(r.Header) > maxHeaderBytes {
 		return refusal{failure: badRequest("the headers exceed 32 KiB")}, false
 	}
-	c.version = inForce.versionText
+	c.version = inForce.source.Version
 	if failure := c.findRoute(inForce, r); failure != nil {
 		return refusal{failure: failure}, false
 	}
@@ -276,5 +275,3 @@
 	}
 	return host
 }
-
-func versionText(v uint64) string { return strconv.FormatUint(v, 10) }
--- a/daemon/headers.go
+++ b/daemon/headers.go
@@ -24,24 +24,18 @@
 	headerReplayed  = "Bilberry-Replayed" // the answer is the stored one of an earlier request
 )
 
-// Headers that only the peer listener reads and only daemons write.
+// Headers that only the peer listener reads and only daemons write. They are
+// few because net/http allocates for each header that it reads.
 const (
-	headerPeerService   = "Bilberry-Service"
-	headerPeerMethod    = "Bilberry-Method"
-	headerPeerPath      = "Bilberry-Path"
-	headerPeerHost      = "Bilberry-Host"
-	headerPeerAttempt   = "Bilberry-Attempt"
-	headerPeerPriority  = "Bilberry-Priority"
-	headerPeerAllowance = "Bilberry-Allowance"
-	headerPeerDepth     = "Bilberry-Depth"
-	headerPeerKey       = "Bilberry-Key"
-	headerPeerVersion   = "Bilberry-Version"
-	headerPeerRefusal   = "Bilberry-Refusal" // a daemon wrote the answer, not a handler
-	headerPeerDeep      = "Bilberry-Deep"
-	headerPeerMessage   = "Bilberry-Message"
-	headerPeerUnused    = "Bilberry-Unused"
-	headerPeerReport    = "Bilberry-Report"
-	headerPeerLength    = "Bilberry-Length" // content length of an answer that is sent in chunks
+	headerPeerPath    = "Bilberry-Path"    // method, space, escaped path and query
+	headerPeerContext = "Bilberry-Context" // see formatPeer
+	headerPeerKey     = "Bilberry-Key"
+	headerPeerAttempt = "Bilberry-Attempt" // of answers
+	headerPeerRefusal = "Bilberry-Refusal" // a daemon wrote the answer, not a handler
+	headerPeerDeep    = "Bilberry-Deep"
+	headerPeerUnused  = "Bilberry-Unused"
+	headerPeerReport  = "Bilberry-Report"
+	headerPeerLength  = "Bilberry-Length" // content length of an answer that is sent in chunks
 )
 
 const (
@@ -142,58 +136,78 @@
 	context   chain.Context
 }
 
+// formatPeer writes the context of an attempt: service, attempt, priority,
+// allowance, depth, remaining milliseconds and configuration version, separated
+// by spaces. The remaining time is rounded down, so that it shrinks at each hop.
+func formatPeer(p *peerRequest) string {
+	buf := make([]byte, 0, 64)
+	buf = append(buf, p.service...)
+	for _, v := range [...]uint64{
+		uint64(p.context.Attempt), uint64(p.context.Priority), uint64(p.allowance), uint64(p.depth),
+		uint64(max(p.remaining.Milliseconds(), 1)), p.context.Version,
+	} {
+		buf = append(buf, ' ')
+		buf = strconv.AppendUint(buf, v, 10)
+	}
+	return string(buf)
+}
+
+// peerFields are the numbers of a context after the service, with their
+// largest values.
+var peerFields = [...]struct {
+	name  string
+	bits  int
+	limit uint64
+}{
+	{"attempt", 32, 1<<32 - 1},
+	{"priority", 16, uint64(chain.MaxPriority) - 1},
+	{"allowance", 16, 1<<16 - 1},
+	{"depth", 16, 1<<16 - 1},
+	{"remaining time", 32, uint64(maxDeadline / time.Millisecond)},
+	{"version", 64, 1<<64 - 1},
+}
+
 // parsePeer reads the headers of an attempt.
 func parsePeer(h http.Header) (peerRequest, *chain.Failure) {
 	var p peerRequest
-	var err error
-	p.service, p.method, p.path = h.Get(headerPeerService), h.Get(headerPeerMethod), h.Get(headerPeerPath)
+	var ok bool
 	p.context.RequestID = h.Get(headerRequestID)
-	if p.service == "" || p.method == "" || !strings.HasPrefix(p.path, "/") || !validRequestID(p.context.RequestID) {
-		return p, badRequest("incomplete peer headers")
-	}
-	var failure *chain.Failure
-	if p.remaining, failure = parseDeadline(h.Get(headerDeadline), maxDeadline); failure != nil {
-		return p, failure
-	}
-	attempt, err := strconv.ParseUint(h.Get(headerPeerAttempt), 10, 32)
-	if err != nil || attempt == 0 {
-		return p, badRequest("bad " + headerPeerAttempt)
+	if !validRequestID(p.context.RequestID) {
+		return p, badRequest("bad " + headerRequestID)
 	}
-	p.context.Attempt = uint32(attempt)
-	priority, err := strconv.ParseUint(h.Get(headerPeerPriority), 10, 16)
-	if err != nil || chain.Priority(priority) >= chain.MaxPriority {
-		return p, badRequest("bad " + headerPeerPriority)
+	p.method, p.path, ok = strings.Cut(h.Get(headerPeerPath), " ")
+	if !ok || p.method == "" || !strings.HasPrefix(p.path, "/") {
+		return p, badRequest("bad " + headerPeerPath)
 	}
-	p.context.Priority = chain.Priority(priority)
-	allowance, err := strconv.ParseUint(h.Get(headerPeerAllowance), 10, 16)
-	if err != nil {
-		return p, badRequest("bad " + headerPeerAllowance)
+	var numbers [len(peerFields)]uint64
+	service, rest, _ := strings.Cut(h.Get(headerPeerContext), " ")
+	for i, field := range peerFields {
+		text, more, found := strings.Cut(rest, " ")
+		n, err := strconv.ParseUint(text, 10, field.bits)
+		if err != nil || n > field.limit || found != (i < len(peerFields)-1) {
+			return p, badRequest("bad " + field.name + " in " + headerPeerContext)
+		}
+		numbers[i], rest = n, more
 	}
-	p.allowance = int(allowance)
-	return p.parseRest(h)
+	p.service = service
+	return p.fill(numbers, h.Get(headerPeerKey))
 }
 
-func (p peerRequest) parseRest(h http.Header) (peerRequest, *chain.Failure) {
-	depth, err := strconv.ParseUint(h.Get(headerPeerDepth), 10, 16)
-	if err != nil {
-		return p, badRequest("bad " + headerPeerDepth)
+// fill checks what the limits of the fields do not.
+func (p peerRequest) fill(n [len(peerFields)]uint64, key string) (peerRequest, *chain.Failure) {
+	p.context.Attempt, p.context.Priority = uint32(n[0]), chain.Priority(n[1])
+	p.allowance, p.depth = int(n[2]), int(n[3])
+	p.remaining = time.Duration(n[4]) * time.Millisecond
+	p.context.Depth, p.context.Version = p.depth, n[5]
+	if p.service == "" || p.context.Attempt == 0 || p.remaining == 0 {
+		return p, badRequest("incomplete " + headerPeerContext)
 	}
-	if depth > chain.MaxDepth {
+	if p.depth > chain.MaxDepth {
 		return p, chain.NewFailure(chain.NotRun, chain.ReasonTooDeep, "the call chain is too deep")
 	}
-	p.depth, p.context.Depth = int(depth), int(depth)
-	key, failure := parseKey(h.Get(headerPeerKey))
-	if failure != nil {
-		return p, failure
-	}
-	p.context.Key = key
-	if v := h.Get(headerPeerVersion); v != "" {
-		p.context.Version, err = strconv.ParseUint(v, 10, 64)
-		if err != nil {
-			return p, badRequest("bad " + headerPeerVersion)
-		}
-	}
-	return p, nil
+	var failure *chain.Failure
+	p.context.Key, failure = parseKey(key)
+	return p, failure
 }
 
 // formatReport writes the load report of a gate: level, limit, in flight,
--- a/daemon/headers_test.go
+++ b/daemon/headers_test.go
@@ -15,16 +15,16 @@
 // FuzzParsePeer guards against peer headers that pass the checks with values
 // out of range, and against a panic.
 func FuzzParsePeer(f *testing.F) {
-	f.Add("req-1", "orders", "POST", "/x?y=1", "250", "1", "130", "2", "3", "", "7")
-	f.Add("", "", "", "", "", "", "", "", "", "", "")
-	f.Add("a b", "s", "GET", "//x", "-1", "0", "65535", "-2", "99", "not-a-key", "x")
-	f.Add("r", "s", "GET", "/", "600001", "4294967296", "384", "70000", "33", "01890a5d-ac96-774b-bcce-b302099a8057", "18446744073709551616")
-	f.Fuzz(func(t *testing.T, id, service, method, path, deadline, attempt, priority, allowance, depth, key, version string) {
+	f.Add("req-1", "POST /x?y=1", "orders 1 130 2 3 250 7", "")
+	f.Add("", "", "", "")
+	f.Add("a b", "GET  //x", "s 0 65535 -2 99 -1 x", "not-a-key")
+	f.Add("r", "GET /", "s 4294967296 384 70000 33 600001 18446744073709551616", "01890a5d-ac96-774b-bcce-b302099a8057")
+	f.Add("r", "GET /", "s 1 383 1 33 600000 1", "01890a5d-ac96-774b-bcce-b302099a8057")
+	f.Add("r", "GET /", "s 1 1 1 1 1 1 1", "")
+	f.Fuzz(func(t *testing.T, id, path, context, key string) {
 		h := http.Header{}
 		for name, v := range map[string]string{
-			headerRequestID: id, headerPeerService: service, headerPeerMethod: method, headerPeerPath: path,
-			headerDeadline: deadline, headerPeerAttempt: attempt, headerPeerPriority: priority,
-			headerPeerAllowance: allowance, headerPeerDepth: depth, headerPeerKey: key, headerPeerVersion: version,
+			headerRequestID: id, headerPeerPath: path, headerPeerContext: context, headerPeerKey: key,
 		} {
 			h.Set(name, v)
 		}
@@ -40,6 +40,10 @@
 		require.LessOrEqual(t, p.depth, chain.MaxDepth)
 		require.True(t, p.remaining > 0 && p.remaining <= maxDeadline)
 		require.True(t, p.context.Key == "" || len(p.context.Key) == 36)
+		h.Set(headerPeerContext, formatPeer(&p))
+		again, failure := parsePeer(h)
+		require.Nil(t, failure)
+		require.Equal(t, p, again)
 	})
 }
 
@@ -95,7 +99,7 @@
 // daemons that leak to the next hop.
 func TestPassHeaders(t *testing.T) {
 	src := http.Header{}
-	for _, name := range []string{"Accept", "X-Private", "Te", "Expect", headerPeerAllowance, headerChain, headerKey, idempotencyAlias} {
+	for _, name := range []string{"Accept", "X-Private", "Te", "Expect", headerPeerContext, headerChain, headerKey, idempotencyAlias} {
 		src.Set(name, "v")
 	}
 	src.Set("Connection", "close, x-private")
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
@@ -17,17 +16,13 @@
 
 // callHandler sends a request to the local upstream.
 func (in *inbound) callHandler(ctx context.Context, e *entry, handle string) handlerResult {
-	target, err := url.ParseRequestURI(in.peer.path)
-	if err != nil {
-		return handlerResult{failure: badRequest("bad path")}
-	}
 	local := in.d.local.Load()
-	target.Scheme, target.Host = "http", local.address
+	in.target.Scheme, in.target.Host = "http", local.address
 	out := &outgoing{
 		transport: local.transport,
 		method:    in.peer.method,
-		url:       target,
-		host:      in.r.Header.Get(headerPeerHost),
+		url:       in.target,
+		host:      in.r.Host,
 		header:    in.handlerHeader(e, handle),
 		body:      in.body,
 	}
--- a/daemon/path_test.go
+++ b/daemon/path_test.go
@@ -16,7 +16,7 @@
 // next daemon, handler, and back.
 func TestWholePath(t *testing.T) {
 	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		require.Empty(t, r.Header.Get(headerPeerAllowance))
+		require.Empty(t, r.Header.Get(headerPeerContext))
 		_, _ = io.WriteString(w, "deep:"+r.URL.Path+"?"+r.URL.RawQuery)
 	}))
 	var front *node
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/core/admit"
@@ -19,6 +20,7 @@
 	r       *http.Request
 	arrived time.Time
 	peer    peerRequest
+	target  *url.URL // path and query at the local upstream
 	route   *route
 	gate    *gate
 	body    *body
@@ -30,11 +32,12 @@
 	in := &inbound{d: d, w: w, r: r, arrived: d.cfg.Now()}
 	h := w.Header()
 	h[headerRequestID] = r.Header[headerRequestID]
-	h[headerPeerAttempt] = r.Header[headerPeerAttempt]
 	if d.draining.Load() {
 		h["Connection"] = []string{"close"}
 	}
-	if failure := in.accept(); failure != nil {
+	failure := in.accept()
+	h[headerPeerAttempt] = []string{strconv.FormatUint(uint64(in.peer.context.Attempt), 10)}
+	if failure != nil {
 		in.refuse(failure, 0, in.peer.allowance)
 		return
 	}
@@ -74,11 +77,11 @@
 	if in.d.local.Load() == nil {
 		return chain.NewFailure(chain.NotRun, chain.ReasonConnect, "the local service has not announced itself")
 	}
-	path, err := url.ParseRequestURI(in.peer.path)
-	if err != nil {
+	var err error
+	if in.target, err = url.ParseRequestURI(in.peer.path); err != nil {
 		return badRequest("bad " + headerPeerPath)
 	}
-	if in.route = svc.match(in.peer.method, path); in.route == nil {
+	if in.route = svc.match(in.peer.method, in.target); in.route == nil {
 		return chain.NewFailure(chain.NotRun, chain.ReasonUnknownRoute, "no declared route matches")
 	}
 	in.body, failure = newBody(in.w, in.r, in.route.maxBody, in.d.cfg.BodyStall)
--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -41,9 +41,8 @@
 
 // compiled is a snapshot with its route tables.
 type compiled struct {
-	source      *Snapshot
-	versionText string
-	services    map[string]*service
+	source   *Snapshot
+	services map[string]*service
 }
 
 // service is one declared service as of a snapshot.
@@ -100,7 +99,7 @@
 }
 
 func (d *Daemon) compile(s *Snapshot, old *compiled) (*compiled, error) {
-	next := &compiled{source: s, versionText: versionText(s.Version), services: make(map[string]*service, len(s.Services))}
+	next := &compiled{source: s, services: make(map[string]*service, len(s.Services))}
 	for name, declared := range s.Services {
 		if old != nil {
 			if prior := old.services[name]; prior != nil && reflect.DeepEqual(prior.declared, declared) {
