--- a/core/feed/choose.go
+++ b/core/feed/choose.go
@@ -9,6 +9,12 @@
 	return src.connected && src.heardAny && src.freshKnown && now.Sub(src.freshAt) <= StaleAfter
 }
 
+// awaited reports whether the first update of a new stream is still to come.
+// Moving to another source that answers first would fetch everything twice.
+func (src *source) awaited(now time.Time) bool {
+	return src.connected && !src.heardAny && now.Sub(src.lastAt) <= StaleAfter
+}
+
 func (src *source) updateFresh(now time.Time) {
 	switch {
 	case !src.fresh(now):
@@ -35,6 +41,9 @@
 
 func (s *Subscriber) pick(now time.Time, held uint64) (string, ChoiceReason) {
 	current := s.sources[s.chosen]
+	if current != nil && current.awaited(now) {
+		return s.chosen, ""
+	}
 	if current != nil && current.fresh(now) {
 		for _, name := range s.cfg.Sources {
 			if name == s.chosen {
--- a/relay/daemon.go
+++ b/relay/daemon.go
@@ -73,11 +73,22 @@
 	member  *feed.Member // own announcement, nil if none yet
 	leaving *leaving
 
+	// After a change of the filter a full copy is needed: documents of added
+	// services may be older than the held version.
+	refetch     bool
+	refetchSent *refetch
+
 	changed bool // the view differs from the last one given out
 	renewAt time.Time
 	viewAt  time.Time
 }
 
+// refetch is the request that asked for a full copy.
+type refetch struct {
+	link     *link
+	sequence uint64
+}
+
 // leaving waits until the relays have received the last announcement.
 type leaving struct {
 	pending map[*link]uint64
@@ -225,15 +236,11 @@
 func (d *Daemon) SetServices(services []string) {
 	services = slices.Clone(services)
 	d.loop.post(eventFunc(func(now time.Time) {
-		d.cfg.Services = services
+		d.cfg.Services, d.refetch, d.refetchSent = services, true, nil
 		for _, l := range d.links {
 			if l.up && l.config {
-				// Documents of added services may be older than the held
-				// version, so a full copy is asked for.
 				l.subscribe = true
-				q := d.request(now, l)
-				q.HeldVersion = 0
-				l.send(q)
+				l.send(d.request(now, l))
 			}
 		}
 	}))
@@ -305,6 +312,10 @@
 	q.Region = d.cfg.Region
 	q.WantConfig = l.config
 	q.HeldVersion = d.staged.Held()
+	if d.refetch && l.config {
+		q.HeldVersion = 0
+		d.refetchSent = &refetch{link: l, sequence: q.GetSequence()}
+	}
 	q.Services = d.cfg.Services
 	q.MemberScope = l.scope
 	if d.member != nil {
--- a/relay/daemon_feed.go
+++ b/relay/daemon_feed.go
@@ -44,10 +44,7 @@
 	}
 	d.sub.Received(now, l.endpoint.Name, reportOf(u))
 	if c := u.GetConfig(); c != nil {
-		if err := d.staged.Add(deltaOf(c)); err != nil {
-			d.log.Warn().Str("event", "delta_refused").Str("source", l.endpoint.Name).Err(err).Msg("")
-			l.subscribe = true
-		}
+		d.stage(l, u.GetEcho(), c)
 	}
 	for _, m := range u.GetMembers() {
 		d.applyMembers(now, l, m)
@@ -55,6 +52,19 @@
 	d.evaluate(now)
 }
 
+// stage queues a received delta until a majority of relays holds its version.
+func (d *Daemon) stage(l *link, echo uint64, c *api.ConfigDelta) {
+	if err := d.staged.Add(deltaOf(c)); err != nil {
+		d.log.Warn().Str("event", "delta_refused").Str("source", l.endpoint.Name).Err(err).Msg("")
+		l.subscribe = true
+		return
+	}
+	sent := d.refetchSent
+	if sent != nil && sent.link == l && echo >= sent.sequence && c.GetFromVersion() == 0 {
+		d.refetch, d.refetchSent = false, nil
+	}
+}
+
 // evaluate lets the rules decide after each event.
 func (d *Daemon) evaluate(now time.Time) {
 	d.choose(now)
--- a/relay/helpers_test.go
+++ b/relay/helpers_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/feed"
@@ -77,6 +79,56 @@
 
 // serve runs a feed server at address, or at a free port if it is empty.
 func serve(tb testing.TB, address string, server api.FeedServer, run func(context.Context)) (string, *process) {
+	tb.Helper()
+	return serveCounted(tb, address, server, run, nil)
+}
+
+// traffic counts what a feed server sends and receives.
+type traffic struct {
+	bytes, messages atomic.Int64
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil || l.traffic == nil {
+		return c, err
+	}
+	return countedConn{c, l.traffic}, nil
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.bytes.Add(int64(n))
+	return n, err
+}
+
+func (t *traffic) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context   { return ctx }
+func (t *traffic) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (t *traffic) HandleConn(context.Context, stats.ConnStats)                       {}
+func (t *traffic) HandleRPC(_ context.Context, s stats.RPCStats) {
+	switch s.(type) {
+	case *stats.InPayload, *stats.OutPayload:
+		t.messages.Add(1)
+	}
+}
+
+func serveCounted(tb testing.TB, address string, server api.FeedServer, run func(context.Context), counted *traffic) (string, *process) {
 	tb.Helper()
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -87,12 +139,16 @@
 		listener, err = net.Listen("tcp", address)
 		return err == nil
 	}, waitTime, 10*time.Millisecond)
-	g := grpc.NewServer(ServerOptions()...)
+	options := ServerOptions()
+	if counted != nil {
+		options = append(options, grpc.StatsHandler(counted))
+	}
+	g := grpc.NewServer(options...)
 	api.RegisterFeedServer(g, server)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { run(ctx) })
-	wg.Go(func() { _ = g.Serve(listener) })
+	wg.Go(func() { _ = g.Serve(countedListener{listener, counted}) })
 	p := &process{stop: sync.OnceFunc(func() {
 		cancel()
 		g.Stop()
@@ -117,11 +173,13 @@
 	relays    []*process
 	sources   []Endpoint
 	remote    map[string][]Endpoint
+	traffic   *traffic // nil if not counted
+	running   []*Relay
 }
 
 // newAZ reserves addresses for n relays.
 func newAZ(tb testing.TB, name string, n int, sources ...Endpoint) *az {
-	a := &az{name: name, sources: sources, relays: make([]*process, n)}
+	a := &az{name: name, sources: sources, relays: make([]*process, n), running: make([]*Relay, n)}
 	for i := range n {
 		a.endpoints = append(a.endpoints, Endpoint{Name: fmt.Sprintf("%s-relay-%d", name, i), Address: freeAddress(tb)})
 	}
@@ -135,7 +193,8 @@
 		Sources: a.sources, Relays: a.endpoints, Remote: a.remote,
 	})
 	require.NoError(tb, err)
-	_, a.relays[i] = serve(tb, a.endpoints[i].Address, r, r.Run)
+	a.running[i] = r
+	_, a.relays[i] = serveCounted(tb, a.endpoints[i].Address, r, r.Run, a.traffic)
 }
 
 func (a *az) startRelays(tb testing.TB) {
