--- a/control/group.go
+++ b/control/group.go
@@ -301,7 +301,7 @@
 	v := &view{status: g.raft.Status(), at: g.server.cfg.Clock()}
 	v.confirmedAt, _ = g.raft.ConfirmedAt()
 	before := g.view.Swap(v)
-	if before == nil || before.status.Role != v.status.Role || before.status.Term != v.status.Term {
+	if before == nil || before.status.Role != v.status.Role || before.status.Leader.GetId() != v.status.Leader.GetId() {
 		g.server.cfg.Logger.Info().Uint32("group", g.id).Uint64("term", v.status.Term).Str("role", v.status.Role.String()).
 			Uint64("leader", v.status.Leader.GetId()).Msg("role changed")
 	}
--- a/control/replace_test.go
+++ b/control/replace_test.go
@@ -5,12 +5,15 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/storage"
 )
 
 // TestLostDiskAndSecondLoss guards against a repair that leaves the group
@@ -110,3 +113,49 @@
 	c.stop(3)
 	require.Eventually(t, func() bool { return source.ConfirmationAgeMs() > 2000 }, patience, time.Millisecond)
 }
+
+// failingFS fails syncs once it is told to.
+type failingFS struct {
+	storage.OS
+	failing atomic.Bool
+}
+
+type failingFile struct {
+	storage.File
+	fs *failingFS
+}
+
+func (f *failingFS) Create(name string) (storage.File, error) {
+	file, err := f.OS.Create(name)
+	return &failingFile{file, f}, err
+}
+
+func (f *failingFile) Sync() error {
+	if f.fs.failing.Load() {
+		return syscall.ENOSPC
+	}
+	return f.File.Sync()
+}
+
+// TestFullDisk guards against a replica that goes on after a failed sync: it
+// must stop, and the others must continue without it.
+func TestFullDisk(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	disks := map[uint64]*failingFS{}
+	c.adjust = func(cfg *Config) {
+		disks[cfg.ReplicaID] = &failingFS{}
+		cfg.FS = disks[cfg.ReplicaID]
+	}
+	c.start(1, 2, 3)
+	cl := c.client()
+	c.publish(cl, 1)
+	full := c.leader(0)
+	disks[full].failing.Store(true)
+	c.publish(cl, 2)
+	var failed *storage.SyncError
+	require.ErrorAs(t, <-c.running[full].ended, &failed)
+	require.ErrorIs(t, failed, syscall.ENOSPC)
+	delete(c.running, full)
+	c.publish(cl, 3)
+	c.agree(3)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -101,16 +101,25 @@
 		address = s.Addr()
 	}
 	s.self = &api.ReplicaRef{Id: s.cfg.ReplicaID, DiskId: d.Identity.DiskID, Address: address}
-	for id := range uint32(s.cfg.ClaimShards + 1) {
-		g, err := s.openGroup(id)
-		if err != nil {
-			return err
-		}
-		s.groups = append(s.groups, g)
+	if err := s.openGroups(); err != nil {
+		return err
 	}
 	return s.resumeFounding()
 }
 
+// openGroups reads all groups at the same time; most of it is waiting for the
+// disk.
+func (s *Server) openGroups() error {
+	s.groups = make([]*group, s.cfg.ClaimShards+1)
+	failures := make([]error, len(s.groups))
+	var all sync.WaitGroup
+	for id := range s.groups {
+		all.Go(func() { s.groups[id], failures[id] = s.openGroup(uint32(id)) })
+	}
+	all.Wait()
+	return errors.Join(failures...)
+}
+
 // fixClaimShards refuses a changed number of claim groups: a key would move to
 // another group, which does not know its claim, and its work could run twice.
 func (s *Server) fixClaimShards() error {
