relay: a silent connection is replaced

After a silent partition a new stream on the same connection was as silent as the former one, until TCP gave up.

--- a/relay/hub.go
+++ b/relay/hub.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
@@ -73,6 +74,9 @@
 		grpc.ReadBufferSize(streamBuffer),
 		grpc.WriteBufferSize(4 * streamBuffer),
 		grpc.MaxRecvMsgSize(maxMessage),
+		// A subscriber that vanished without closing its connection is noticed
+		// by a ping once its requests, one a second, no longer arrive.
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 2 * feed.SilentAfter, Timeout: feed.SilentAfter}),
 	}
 }
 
--- a/relay/link.go
+++ b/relay/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,8 +40,10 @@
 type link struct {
 	endpoint Endpoint
 	loop     *loop
-	conn     *grpc.ClientConn
+	creds    credentials.TransportCredentials
+	conn     *grpc.ClientConn // owned by run
 	handler  linkHandler
+	silent   atomic.Bool // the connection carries nothing any more
 
 	// owned by the loop
 	out       chan *api.SyncRequest
@@ -68,8 +71,14 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	conn, err := grpc.NewClient("passthrough:///"+e.Address,
-		grpc.WithTransportCredentials(creds),
+	l := &link{endpoint: e, creds: creds, loop: lp, handler: h}
+	return l, l.dial()
+}
+
+// dial prepares a connection; it is made when the first stream is opened.
+func (l *link) dial() error {
+	conn, err := grpc.NewClient("passthrough:///"+l.endpoint.Address,
+		grpc.WithTransportCredentials(l.creds),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
 				BaseDelay:  firstReconnectDelay,
@@ -84,20 +93,22 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 	)
 	if err != nil {
-		return nil, errors.Wrapf(err, "feed client for %s at %s", e.Name, e.Address)
+		return errors.Wrapf(err, "feed client for %s at %s", l.endpoint.Name, l.endpoint.Address)
 	}
-	return &link{endpoint: e, loop: lp, conn: conn, handler: h}, nil
+	l.conn = conn
+	return nil
 }
 
 // run opens streams until ctx ends. Delays between attempts are jittered, so
 // that subscribers that lost the same source return spread over time.
 func (l *link) run(ctx context.Context) {
-	defer l.conn.Close()
+	defer func() { l.conn.Close() }()
 	attempt := 0
 	for ctx.Err() == nil {
 		if l.stream(ctx) {
 			attempt = 0
 		}
+		l.replaceSilent()
 		attempt++
 		delay := min(firstReconnectDelay<<min(attempt, 5), feed.MaxReconnectDelay/2)
 		delay = time.Duration((0.5 + 0.5*rand.Float64()) * float64(delay))
@@ -108,6 +119,19 @@
 	}
 }
 
+// replaceSilent drops a connection on which nothing arrived. TCP notices a
+// silent partition only after many minutes, and a new stream on the same
+// connection would be as silent.
+func (l *link) replaceSilent() {
+	if !l.silent.Swap(false) {
+		return
+	}
+	former := l.conn
+	if l.dial() == nil {
+		former.Close()
+	}
+}
+
 // stream runs one stream to its end. It reports whether an update arrived.
 func (l *link) stream(ctx context.Context) (received bool) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -168,11 +192,12 @@
 	l.handler.linkDown(now, l, err)
 }
 
-// reset ends the present stream; the link opens another one.
+// reset ends the present connection; the link opens another one.
 func (l *link) reset(now time.Time, err error) {
 	if !l.up {
 		return
 	}
+	l.silent.Store(true)
 	l.cancel()
 	l.down(now, l.out, err)
 }
