--- a/daemon/call.go
+++ b/daemon/call.go
@@ -27,7 +27,7 @@
 	host    string
 	header  http.Header // of the caller, read only
 	body    *body
-	version string
+	version uint64
 	tried   []string
 }
 
@@ -99,6 +99,7 @@
 		transport: c.svc.target.client(),
 		method:    http.MethodPost,
 		url:       &url.URL{Scheme: c.d.peerScheme, Host: choice.Upstream.Address, Path: "/"},
+		host:      c.host,
 		header:    c.peerHeader(a),
 		body:      c.body,
 		expect:    true,
@@ -142,26 +143,19 @@
 // peerHeader builds the headers of an attempt. Each attempt has its own map,
 // because net/http may read it after an attempt has been given up.
 func (c *call) peerHeader(a *attempt) http.Header {
-	h := make(http.Header, len(c.header)+14)
+	h := make(http.Header, len(c.header)+4)
 	passHeaders(h, c.header)
-	values := make([]string, 0, 12) // one allocation for all values
-	set := func(name, value string) {
-		values = append(values, value)
-		h[name] = values[len(values)-1 : len(values) : len(values)]
-	}
-	set(headerRequestID, c.context.RequestID)
-	set(headerPeerService, c.route.service)
-	set(headerPeerMethod, c.method)
-	set(headerPeerPath, c.path)
-	set(headerPeerHost, c.host)
-	set(headerPeerAttempt, strconv.FormatUint(uint64(a.number), 10))
-	set(headerPeerPriority, strconv.FormatUint(uint64(c.context.Priority), 10))
-	set(headerPeerAllowance, strconv.Itoa(a.share))
-	set(headerPeerDepth, strconv.Itoa(c.context.Depth))
-	set(headerDeadline, remainingMs(c.context.Remaining(a.started)))
-	set(headerPeerVersion, c.version)
+	p := peerRequest{
+		service: c.route.service, remaining: c.context.Remaining(a.started), allowance: a.share,
+		depth: c.context.Depth, context: c.context,
+	}
+	p.context.Attempt, p.context.Version = a.number, c.version
+	values := [...]string{c.context.RequestID, c.method + " " + c.path, formatPeer(&p), c.context.Key}
+	h[headerRequestID] = values[0:1:1]
+	h[headerPeerPath] = values[1:2:2]
+	h[headerPeerContext] = values[2:3:3]
 	if c.context.Key != "" {
-		set(headerPeerKey, c.context.Key)
+		h[headerPeerKey] = values[3:4:4]
 	}
 	return h
 }
@@ -228,10 +222,15 @@
 // deliver passes a handler's answer on. A truncated one is reported, so that
 // the caller's connection is cut off.
 func (c *call) deliver(w http.ResponseWriter, a *attempt) (*chain.Failure, bool) {
-	announced := c.writeHead(w, a)
-	var broken *chain.Failure
+	announced := parseLength(a.answer.header.Get(headerPeerLength))
+	var cp *copier
 	if a.answer.resp != nil {
-		broken = c.copyBody(w, a, announced)
+		cp = newCopier(w, c.d.cfg.BodyStall, announced)
+	}
+	c.writeHead(w, a, announced)
+	var broken *chain.Failure
+	if cp != nil {
+		broken = a.answer.stream(c.ctx, cp, announced)
 	} else if c.method != http.MethodHead && bodyAllowed(a.answer.status) {
 		_, _ = w.Write(a.answer.whole) // the caller has left if this fails
 	}
@@ -248,14 +247,18 @@
 	return broken, true
 }
 
-func (c *call) copyBody(w http.ResponseWriter, a *attempt, announced int64) *chain.Failure {
-	cp := &copier{w: w, control: http.NewResponseController(w), stall: c.d.cfg.BodyStall, flush: announced < 0}
-	return a.answer.stream(c.ctx, cp, announced)
+// senderFault reports whether the sender of the request caused a failure.
+func senderFault(f *chain.Failure) bool {
+	switch f.Reason {
+	case chain.ReasonSlowBody, chain.ReasonBodyLength, chain.ReasonTooLarge, chain.ReasonCancelled:
+		return true
+	}
+	return false
 }
 
-// writeHead writes status and headers, and returns the announced length of a
-// body that is still to be copied.
-func (c *call) writeHead(w http.ResponseWriter, a *attempt) int64 {
+// writeHead writes status and headers. Announced is the length of a body that
+// is still to be copied, or that HEAD asked for.
+func (c *call) writeHead(w http.ResponseWriter, a *attempt, announced int64) {
 	h := w.Header()
 	passHeaders(h, a.answer.header)
 	h[headerRequestID] = a.answer.header[headerRequestID]
@@ -264,7 +267,6 @@
 			h[name] = v
 		}
 	}
-	announced := parseLength(a.answer.header.Get(headerPeerLength))
 	switch {
 	case c.method == http.MethodHead:
 		if announced >= 0 {
@@ -276,7 +278,6 @@
 		setLength(h, announced)
 	}
 	w.WriteHeader(a.answer.status)
-	return announced
 }
 
 // unused is the number of retries that came back with an answer.
@@ -300,6 +301,9 @@
 	result := balance.Result{Latency: now.Sub(a.started), Bytes: max(c.body.length, 0)}
 	if a.failure != nil {
 		result.Outcome, result.Reason, result.Deep = a.failure.Outcome, a.failure.Reason, a.failure.Deep
+		if senderFault(a.failure) {
+			result.Reason = chain.ReasonCancelled // says nothing about the upstream
+		}
 	}
 	if a.answer != nil {
 		result.Bytes += max(a.answer.length, 0)
