process, cmd: the processes and commands, first state

Cause: the packages of the daemon, of control and of the feed are not bound to settings and subcommands yet. Change: the package process and the subcommands daemon, control, publish, status and replica; reference of the commands.

--- a/cmd/bilberrydeck/main.go
+++ b/cmd/bilberrydeck/main.go
@@ -35,7 +35,12 @@
 // commands lists the subcommands in the order of the help text.
 func commands() []command {
 	return []command{
+		{"daemon", "run the daemon beside an upstream", runDaemon},
+		{"control", "run a control replica", runControl},
+		{"publish", "send declarations to control", runPublish},
 		{"check", "validate declaration and settings files", runCheck},
+		{"status", "show the state of control or of a daemon", runStatus},
+		{"replica", "replace a lost control replica", runReplica},
 		{"loadtest", "measure the request path under overload", runLoadtest},
 		{"version", "print the version of the program", runVersion},
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -62,6 +62,9 @@
 	// Machine makes the machine of a group; nil means the configuration and
 	// claims of core/state.
 	Machine func(group uint32) Machine
+	// ServerOptions are added to those of the gRPC server, such as the check of
+	// the role that a caller's certificate carries.
+	ServerOptions []grpc.ServerOption
 	// Register adds further services to the gRPC server, such as the feed.
 	Register func(grpc.ServiceRegistrar)
 }
--- a/control/server.go
+++ b/control/server.go
@@ -139,12 +139,12 @@
 	if s.cfg.ServerTLS != nil {
 		transportCredentials = credentials.NewTLS(s.cfg.ServerTLS)
 	}
-	s.grpc = grpc.NewServer(
+	s.grpc = grpc.NewServer(append([]grpc.ServerOption{
 		grpc.Creds(transportCredentials),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
-	)
+	}, s.cfg.ServerOptions...)...)
 	api.RegisterControlServer(s.grpc, s)
 	api.RegisterReplicaServer(s.grpc, s)
 	if s.cfg.Register != nil {
--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control/client"
+	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/feed"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+	"github.com/bilberrydeck/bilberrydeck/logging"
+	"github.com/bilberrydeck/bilberrydeck/relay"
+)
+
+func testDocument(slots int) []byte {
+	return declaration.Encode(declaration.Service{Name: "tarifs", Slots: slots, MaxConnections: 50, Routes: []declaration.Route{
+		{Name: "prix", Method: "GET", Path: "/prix", Timeout: time.Second},
+	}})
+}
+
+// TestSnapshot guards against upstreams that are offered before they serve,
+// and against a declaration in a newer format that removes a service.
+func TestSnapshot(t *testing.T) {
+	var lines bytes.Buffer
+	translate := newTranslator(logging.New(&lines))
+	since := time.Unix(100, 0)
+	view := &relay.View{Confirmed: true, Version: 7, Documents: map[string][]byte{"tarifs": testDocument(3)},
+		Members: map[string][]*feed.Member{"tarifs": {
+			{ID: "a", Address: "127.0.0.1:1", Region: "r", AvailabilityZone: "r-a", State: feed.StateServing, Slots: 3, UpSince: since},
+			{ID: "b", State: feed.StateDraining},
+			{ID: "c", State: feed.StateStarting},
+			{ID: "d", State: feed.StateGone},
+		}}}
+	s := translate.snapshot(view)
+	require.Equal(t, uint64(7), s.Version)
+	require.True(t, s.Confirmed)
+	require.Equal(t, 3, s.Services["tarifs"].Slots)
+	require.Equal(t, []balance.Upstream{
+		{ID: "a", Address: "127.0.0.1:1", Region: "r", AvailabilityZone: "r-a", Slots: 3, UpSince: since},
+		{ID: "b", Draining: true},
+	}, s.Upstreams["tarifs"])
+
+	view.Documents = map[string][]byte{"tarifs": []byte(`{"service": "tarifs", "hedging": true}`), "other": []byte(`{`)}
+	s = translate.snapshot(view)
+	require.Equal(t, 3, s.Services["tarifs"].Slots)
+	require.NotContains(t, s.Services, "other")
+	require.Contains(t, lines.String(), "declaration not readable")
+	view.Documents = map[string][]byte{"tarifs": testDocument(4)}
+	require.Equal(t, 4, translate.snapshot(view).Services["tarifs"].Slots)
+	view.Documents = nil
+	require.Empty(t, translate.snapshot(view).Services)
+}
+
+// TestLatest guards against an old view that is put in force after a new one.
+func TestLatest(t *testing.T) {
+	l := newLatest[int]()
+	l.put(1)
+	l.put(2)
+	v, ok := l.take(context.Background())
+	require.True(t, ok)
+	require.Equal(t, 2, v)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, ok = l.take(ended)
+	require.False(t, ok)
+}
+
+// TestSettledClaims guards against a daemon that repeats for minutes what
+// control has refused for good.
+func TestSettledClaims(t *testing.T) {
+	var lines bytes.Buffer
+	c := &claimer{logger: logging.New(&lines)}
+	require.NoError(t, c.settled(&client.NotRecordedError{Op: "finish", Key: &api.ClaimKey{Key: "k"}}))
+	require.Contains(t, lines.String(), "operation=finish key=k")
+	require.ErrorIs(t, c.settled(context.Canceled), context.Canceled)
+	require.NoError(t, c.settled(nil))
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -17,7 +17,7 @@
 	Upstream         Upstream
 	Relays           []string         // all relays of this availability zone; 1 to 7
 	Relay            *Relay           // nil if this daemon is not a relay
-	Controls         []string         // control replicas, for claims and for a start without relays; 1 to 7
+	Controls         []string         // control replicas, for the claims of keyed requests; 1 to 7
 	LinkBudgets      map[string]int64 // bytes per second that this daemon may send to another region; a region that is absent gets no traffic
 	TLS              *TLS             // nil for loopback only
 	Log              Log
