--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -166,6 +166,20 @@
 	})
 }
 
+// publisher publishes changes one after the other.
+type publisher struct {
+	t    testing.TB
+	c    *client.Client
+	last uint64
+}
+
+// next publishes one change, which must be accepted.
+func (p *publisher) next() {
+	p.t.Helper()
+	p.last++
+	accept(p.t, p.c, p.last)
+}
+
 // TestRestartAfterHundredsOfChanges guards against state that is lost or
 // differs after all replicas were killed at once.
 func TestRestartAfterHundredsOfChanges(t *testing.T) {
