--- a/control/group.go
+++ b/control/group.go
@@ -39,8 +39,15 @@
 
 	waiting  map[uint64]waiter // by log index
 	snapshot uint64            // index of the newest snapshot
-	view     atomic.Pointer[view]
-	empty    atomic.Bool // no entry and no snapshot was ever stored
+
+	// A snapshot is encoded, written and cleaned up after beside the loop.
+	steps    chan func() error // executed by the loop
+	saving   bool              // a job runs
+	encoding bool              // the machine is read: entries are deferred
+	deferred []*api.Entry
+
+	view  atomic.Pointer[view]
+	empty atomic.Bool // no entry and no snapshot was ever stored
 }
 
 // view is what other goroutines see of a group.
@@ -83,6 +90,7 @@
 		proposals:    make(chan *proposal, proposalLimit),
 		replacements: make(chan *replacement),
 		waiting:      map[uint64]waiter{},
+		steps:        make(chan func() error),
 	}
 	g.empty.Store(stored.Empty())
 	if err := g.start(stored); err != nil {
@@ -142,6 +150,10 @@
 		case r := <-g.replacements:
 			_, _, err := g.raft.ProposeReplace(r.oldID, r.replacement)
 			r.done <- err
+		case step := <-g.steps:
+			if err := step(); err != nil {
+				return err
+			}
 		}
 		g.drain()
 		if err := g.process(); err != nil {
@@ -200,19 +212,14 @@
 	if g.raft.Role() != raft.Leader || g.raft.Term() != term {
 		g.failWaiting()
 	}
-	if err := g.maybeSnapshot(); err != nil {
-		return err
-	}
+	g.maybeSnapshot()
 	g.publish()
 	return nil
 }
 
 func (g *group) store(rd *raft.Ready) error {
 	if rd.Snapshot != nil {
-		if err := g.log.InstallSnapshot(rd.Snapshot); err != nil {
-			return err
-		}
-		if err := g.restore(rd.Snapshot); err != nil {
+		if err := g.install(rd.Snapshot); err != nil {
 			return err
 		}
 	}
@@ -228,21 +235,14 @@
 	return nil
 }
 
-func (g *group) restore(s *raft.Snapshot) error {
-	g.machineMu.Lock()
-	defer g.machineMu.Unlock()
-	if err := g.machine.Restore(s.Data); err != nil {
-		return &MachineError{g.id, "restore", err}
-	}
-	g.snapshot = s.Meta.Index
-	g.server.cfg.Logger.Info().Uint32("group", g.id).Uint64("index", s.Meta.Index).Int("bytes", len(s.Data)).Msg("snapshot installed")
-	return nil
-}
-
 func (g *group) apply(entries []*api.Entry) {
 	if len(entries) == 0 {
 		return
 	}
+	if g.encoding {
+		g.deferred = append(g.deferred, entries...)
+		return
+	}
 	g.machineMu.Lock()
 	defer g.machineMu.Unlock()
 	for _, e := range entries {
@@ -274,32 +274,13 @@
 	}
 }
 
-func (g *group) maybeSnapshot() error {
-	applied := g.raft.Status().Applied
-	if applied-g.snapshot < g.server.cfg.SnapshotThreshold {
-		return nil
-	}
-	data, err := g.machine.Snapshot()
-	if err != nil {
-		return &MachineError{g.id, "snapshot", err}
-	}
-	s, err := g.raft.SnapshotAt(applied, data)
-	if err != nil {
-		return &MachineError{g.id, "snapshot", err}
-	}
-	if err := g.log.SaveSnapshot(s); err != nil {
-		return err
-	}
-	g.raft.Compacted(s)
-	g.snapshot = applied
-	g.server.cfg.Logger.Info().Uint32("group", g.id).Uint64("index", applied).Int("bytes", len(data)).Msg("snapshot saved")
-	return nil
-}
-
 // publish makes the current view visible to other goroutines.
 func (g *group) publish() {
 	v := &view{status: g.raft.Status(), at: g.server.cfg.Clock()}
 	v.confirmedAt, _ = g.raft.ConfirmedAt()
+	if g.encoding {
+		v.confirmedAt = g.view.Load().confirmedAt // entries wait to be applied
+	}
 	before := g.view.Swap(v)
 	if before == nil || before.status.Role != v.status.Role || before.status.Leader.GetId() != v.status.Leader.GetId() {
 		g.server.cfg.Logger.Info().Uint32("group", g.id).Uint64("term", v.status.Term).Str("role", v.status.Role.String()).
@@ -312,7 +293,8 @@
 
 func (g *group) stop() {
 	g.failWaiting()
-	_ = g.log.Close() // everything that counts was synced
+	_ = g.finishJobs() // a snapshot that fails now is made again
+	_ = g.log.Close()  // everything that counts was synced
 }
 
 // submit queues a command and waits for its result.
--- a/storage/log.go
+++ b/storage/log.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 
@@ -36,7 +37,8 @@
 	size     int64
 	segments []segment // in order, the last one is written to
 	hard     raft.HardState
-	snapshot uint64 // index of the newest snapshot
+	snapshot uint64   // index of the newest snapshot
+	stale    []string // files that a crash kept from being removed
 	buffer   []byte
 }
 
@@ -101,15 +103,16 @@
 		}
 	}
 	state.HardState = c.hard
-	return l.joinSnapshot(c, state)
+	return l.joinSnapshot(c, state, names)
 }
 
 // joinSnapshot keeps the entries that follow the snapshot.
-func (l *Log) joinSnapshot(c *contents, state *State) error {
+func (l *Log) joinSnapshot(c *contents, state *State, names []string) error {
 	state.Entries = c.entries
 	if state.Snapshot != nil {
 		meta := state.Snapshot.Meta
 		l.snapshot = meta.Index
+		l.noteStale(names)
 		state.HardState.Commit = max(state.HardState.Commit, meta.Index)
 		state.HardState.Term = max(state.HardState.Term, meta.Term)
 		state.Entries = after(c.entries, meta)
@@ -121,6 +124,15 @@
 	return nil
 }
 
+// noteStale finds older snapshots and incomplete files.
+func (l *Log) noteStale(names []string) {
+	for _, n := range names {
+		if strings.HasPrefix(n, "snapshot-") && n != snapshotName(l.snapshot) {
+			l.stale = append(l.stale, n)
+		}
+	}
+}
+
 // after returns the entries that follow a snapshot. If the entry at its index
 // has another term, the snapshot was received from a leader whose log differs,
 // and the crash came before the log was reset: none of the entries remain.
@@ -307,77 +319,79 @@
 	return nil
 }
 
-// SaveSnapshot makes a snapshot of the local machine durable and removes what
-// it replaces.
-func (l *Log) SaveSnapshot(s *raft.Snapshot) error {
-	if err := l.writeSnapshot(s); err != nil {
+// WriteSnapshot makes a snapshot durable. It may run beside Append; the log
+// goes on as before until Retire is called.
+func (l *Log) WriteSnapshot(s *raft.Snapshot) error {
+	content, err := encodeSnapshot(s)
+	if err != nil {
 		return err
 	}
-	return l.removeOld()
+	return replaceFile(l.fs, filepath.Join(l.dir, snapshotName(s.Meta.Index)), content)
 }
 
-// InstallSnapshot makes a snapshot that a leader sent durable. The entries
-// stored so far are void.
-func (l *Log) InstallSnapshot(s *raft.Snapshot) error {
-	if err := l.writeSnapshot(s); err != nil {
-		return err
-	}
-	l.beginFrame()
-	l.buffer = appendReset(l.buffer, s.Meta.Index)
-	if err := l.writeFrame(true); err != nil {
-		return err
+// Retire tells the log that the snapshot at index is durable. It returns the
+// names of the files that are not needed any more, for Remove.
+func (l *Log) Retire(index uint64) []string {
+	if l.snapshot > 0 && l.snapshot < index {
+		l.stale = append(l.stale, snapshotName(l.snapshot))
+	}
+	l.snapshot = index
+	for len(l.segments) > 1 && l.segments[0].last <= index {
+		l.stale = append(l.stale, l.segments[0].name())
+		l.segments = l.segments[1:]
 	}
-	for i := range l.segments {
-		l.segments[i].last = 0
+	names := l.stale
+	l.stale = nil
+	return names
+}
+
+// Remove removes files in the order in which Retire returned them. It may run
+// beside Append: freeing the space of a file takes up to 250 ms on a disk that
+// discards it at once. After a crash in between, the next Retire returns the
+// remaining names again.
+func (l *Log) Remove(names []string) error {
+	for _, n := range names {
+		path := filepath.Join(l.dir, n)
+		if err := l.fs.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return &SyncError{Op: "remove", Path: path, Err: err}
+		}
 	}
-	return l.removeOld()
+	return nil
 }
 
-func (l *Log) writeSnapshot(s *raft.Snapshot) error {
+// SaveSnapshot makes a snapshot of the local machine durable and removes what
+// it replaces.
+func (l *Log) SaveSnapshot(s *raft.Snapshot) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	content, err := encodeSnapshot(s)
-	if err != nil {
-		return l.fail("encode", l.dir, err)
+	if err := l.WriteSnapshot(s); err != nil {
+		return l.fail("write", l.dir, err)
 	}
-	path := filepath.Join(l.dir, snapshotName(s.Meta.Index))
-	if err := replaceFile(l.fs, path, content); err != nil {
-		return l.fail("write", path, err)
+	if err := l.Remove(l.Retire(s.Meta.Index)); err != nil {
+		return l.fail("remove", l.dir, err)
 	}
-	l.snapshot = s.Meta.Index
 	return nil
 }
 
-// removeOld removes older snapshots and the leading segments whose entries
-// the snapshot covers. A crash in between leaves files that the next call
-// removes.
-func (l *Log) removeOld() error {
-	for len(l.segments) > 1 && l.segments[0].last <= l.snapshot {
-		if err := l.remove(l.segments[0].name()); err != nil {
-			return err
-		}
-		l.segments = l.segments[1:]
+// InstallSnapshot makes a snapshot that a leader sent durable. The entries
+// stored so far are void. It returns the names for Remove.
+func (l *Log) InstallSnapshot(s *raft.Snapshot) ([]string, error) {
+	if l.failed != nil {
+		return nil, l.failed
 	}
-	names, err := l.fs.ReadDir(l.dir)
-	if err != nil {
-		return l.fail("read", l.dir, err)
+	if err := l.WriteSnapshot(s); err != nil {
+		return nil, l.fail("write", l.dir, err)
 	}
-	for _, n := range names {
-		if strings.HasPrefix(n, "snapshot-") && n < snapshotName(l.snapshot) {
-			if err := l.remove(n); err != nil {
-				return err
-			}
-		}
+	l.beginFrame()
+	l.buffer = appendReset(l.buffer, s.Meta.Index)
+	if err := l.writeFrame(true); err != nil {
+		return nil, err
 	}
-	return nil
-}
-
-func (l *Log) remove(name string) error {
-	if err := l.fs.Remove(filepath.Join(l.dir, name)); err != nil {
-		return l.fail("remove", filepath.Join(l.dir, name), err)
+	for i := range l.segments {
+		l.segments[i].last = 0
 	}
-	return nil
+	return l.Retire(s.Meta.Index), nil
 }
 
 // Close closes the log. What was not synced may be lost.
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -48,6 +48,14 @@
 	}
 }
 
+func install(l *Log, s *raft.Snapshot) error {
+	names, err := l.InstallSnapshot(s)
+	if err != nil {
+		return err
+	}
+	return l.Remove(names)
+}
+
 // model is what a log must hold: all that was synced.
 type model struct {
 	hard     raft.HardState
@@ -100,7 +108,7 @@
 				}
 			case "install":
 				index := m.last() + uint64(rapid.IntRange(1, 5).Draw(t, "ahead"))
-				require.NoError(t, l.InstallSnapshot(snapshotAt(index, m.hard.Term)))
+				require.NoError(t, install(l, snapshotAt(index, m.hard.Term)))
 				m.entries, m.snapshot = nil, index
 			case "crash":
 				_ = l.Append(nil, entries(m.last()+1, m.last()+3, m.hard.Term), false) // never synced
@@ -177,7 +185,7 @@
 			return l.SaveSnapshot(snapshotAt(3, 1))
 		},
 		"syncdir": func(l *Log) error {
-			return l.InstallSnapshot(snapshotAt(9, 1))
+			return install(l, snapshotAt(9, 1))
 		},
 	}
 	for op, do := range operations {
@@ -193,7 +201,7 @@
 			calls := fs.calls[op]
 			require.ErrorAs(t, l.Append(nil, entries(4, 4, 1), true), &failed)
 			require.ErrorAs(t, l.SaveSnapshot(snapshotAt(3, 1)), &failed)
-			require.ErrorAs(t, l.InstallSnapshot(snapshotAt(9, 1)), &failed)
+			require.ErrorAs(t, install(l, snapshotAt(9, 1)), &failed)
 			require.Equal(t, calls, fs.calls[op], "tried again after the failure")
 			_, s := open(t, fs.crash(0))
 			require.Equal(t, uint64(1), s.HardState.Term)
@@ -208,7 +216,7 @@
 	fs := newMemoryFS()
 	l, _ := open(t, fs)
 	require.NoError(t, l.Append(&raft.HardState{Term: 1}, entries(1, 9, 1), true))
-	require.NoError(t, l.writeSnapshot(snapshotAt(5, 2)))
+	require.NoError(t, l.WriteSnapshot(snapshotAt(5, 2)))
 	_, s := open(t, fs.crash(0))
 	require.Empty(t, s.Entries)
 	require.Equal(t, uint64(5), s.HardState.Commit)
