control: the number of claim groups is stored with the identity

Change: one write at the first start; a test that another number is refused later. Conclusion: one rename less at the first start.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -51,3 +51,16 @@
 	c.publish(cl, 2)
 	c.agree(2)
 }
+
+// TestClaimShardsAreFixed guards against a changed number of claim groups:
+// a key would move to a group that does not know its claim.
+func TestClaimShardsAreFixed(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.start(1)
+	c.publish(c.client(), 1)
+	c.stop(1)
+	c.shards = 3
+	_, err := New(c.config(1, c.peers[1]))
+	var refused *ConfigError
+	require.ErrorAs(t, err, &refused)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -88,13 +88,16 @@
 }
 
 func (s *Server) open() error {
-	d, err := storage.OpenDirectory(s.cfg.FS, s.cfg.DataDirectory, s.cfg.ReplicaID, newDiskID())
+	fresh := storage.Identity{Replica: s.cfg.ReplicaID, DiskID: newDiskID(), ClaimShards: s.cfg.ClaimShards}
+	d, err := storage.OpenDirectory(s.cfg.FS, s.cfg.DataDirectory, fresh)
 	if err != nil {
 		return err
 	}
 	s.directory = d
-	if err := s.fixClaimShards(); err != nil {
-		return err
+	// With another number of claim groups a key would move to a group that
+	// does not know its claim, and its work could run twice.
+	if d.Identity.ClaimShards != s.cfg.ClaimShards {
+		return &ConfigError{"claim_shards differs from the number that the data directory was made with"}
 	}
 	address := s.cfg.AdvertiseAddress
 	if address == "" {
@@ -120,20 +123,6 @@
 	return errors.Join(failures...)
 }
 
-// fixClaimShards refuses a changed number of claim groups: a key would move to
-// another group, which does not know its claim, and its work could run twice.
-func (s *Server) fixClaimShards() error {
-	id := s.directory.Identity
-	if id.ClaimShards == s.cfg.ClaimShards {
-		return nil
-	}
-	if id.ClaimShards != 0 {
-		return &ConfigError{"claim_shards differs from the number that the data directory was made with"}
-	}
-	id.ClaimShards = s.cfg.ClaimShards
-	return s.directory.SaveIdentity(id)
-}
-
 func (s *Server) serve() {
 	transportCredentials := insecure.NewCredentials()
 	if s.cfg.ServerTLS != nil {
--- a/storage/identity.go
+++ b/storage/identity.go
@@ -32,8 +32,8 @@
 }
 
 // OpenDirectory locks a data directory and reads its identity. An unused
-// directory gets the identity of the replica and the disk id newDiskID.
-func OpenDirectory(fs FS, path string, replica uint64, newDiskID string) (*Directory, error) {
+// directory gets the identity fresh, which names the replica and a new disk id.
+func OpenDirectory(fs FS, path string, fresh Identity) (*Directory, error) {
 	if err := fs.MkdirAll(path); err != nil {
 		return nil, &SyncError{Op: "create", Path: path, Err: err}
 	}
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	d := &Directory{FS: fs, Path: path, lock: lock}
-	if err := d.loadIdentity(replica, newDiskID); err != nil {
+	if err := d.loadIdentity(fresh); err != nil {
 		_ = lock.Close() // the first error is reported
 		return nil, err
 	}
@@ -61,14 +61,14 @@
 	return f, nil
 }
 
-func (d *Directory) loadIdentity(replica uint64, newDiskID string) error {
+func (d *Directory) loadIdentity(fresh Identity) error {
 	name := filepath.Join(d.Path, identityFile)
 	content, err := d.FS.ReadFile(name)
 	if errors.Is(err, os.ErrNotExist) {
 		if err := d.refuseForeignState(); err != nil {
 			return err
 		}
-		return d.SaveIdentity(Identity{Replica: replica, DiskID: newDiskID})
+		return d.SaveIdentity(fresh)
 	}
 	if err != nil {
 		return &SyncError{Op: "read", Path: name, Err: err}
@@ -76,8 +76,8 @@
 	if err := json.Unmarshal(content, &d.Identity); err != nil || d.Identity.DiskID == "" {
 		return &CorruptError{Path: name, Reason: "the identity file does not decode"}
 	}
-	if d.Identity.Replica != replica {
-		return &IdentityError{Path: d.Path, Held: d.Identity.Replica, Want: replica}
+	if d.Identity.Replica != fresh.Replica {
+		return &IdentityError{Path: d.Path, Held: d.Identity.Replica, Want: fresh.Replica}
 	}
 	return nil
 }
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -239,26 +239,26 @@
 // directory, and against state that has lost its identity.
 func TestDirectory(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "data")
-	d, err := OpenDirectory(OS{}, path, 1, "first")
+	d, err := OpenDirectory(OS{}, path, Identity{Replica: 1, DiskID: "first"})
 	require.NoError(t, err)
 	var locked *LockedError
-	_, err = OpenDirectory(OS{}, path, 1, "second")
+	_, err = OpenDirectory(OS{}, path, Identity{Replica: 1, DiskID: "second"})
 	require.ErrorAs(t, err, &locked)
 	require.NoError(t, d.Close())
 
-	d, err = OpenDirectory(OS{}, path, 1, "second")
+	d, err = OpenDirectory(OS{}, path, Identity{Replica: 1, DiskID: "second"})
 	require.NoError(t, err)
 	require.Equal(t, "first", d.Identity.DiskID)
 	require.NoError(t, d.Close())
 
 	var identity *IdentityError
-	_, err = OpenDirectory(OS{}, path, 2, "second")
+	_, err = OpenDirectory(OS{}, path, Identity{Replica: 2, DiskID: "second"})
 	require.ErrorAs(t, err, &identity)
 
 	require.NoError(t, OS{}.MkdirAll(filepath.Join(path, "group-0")))
 	require.NoError(t, OS{}.Remove(filepath.Join(path, identityFile)))
 	var corrupt *CorruptError
-	_, err = OpenDirectory(OS{}, path, 1, "third")
+	_, err = OpenDirectory(OS{}, path, Identity{Replica: 1, DiskID: "third"})
 	require.ErrorAs(t, err, &corrupt)
 }
 
