--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -88,26 +88,42 @@
 		part = max(part, min(1, float32(l.noRoom)/float32(l.admitted)))
 	}
 	want := part * l.aboveLevel()
-	for l.current < maxLevel && want > 0 {
+	top := l.riseBound()
+	for l.current < top && want > 0 {
 		want -= l.histogram[l.current]
 		l.current++
 	}
 }
 
-// fall admits fallStep more, or what the idle capacity can serve.
+// riseBound stops a rise at the next class: a higher class is shed only after a
+// period in which shedding all of the lower ones was not enough.
+func (l *level) riseBound() chain.Priority {
+	for class := chain.Sheddable + 1; class <= chain.Critical; class++ {
+		if l.current < class.MinPriority() {
+			return class.MinPriority()
+		}
+	}
+	return maxLevel
+}
+
+// fall admits fallStep more, or what the idle capacity can serve. Below the
+// level, a priority counts at least as much as the average one above: where
+// entrances refuse early, the gate does not see what waits there, and would
+// fall through the empty part of the histogram at once.
 func (l *level) fall() {
 	part := float32(fallStep)
 	if l.capacity > 0 {
 		used := max(float32(l.busy)/float32(l.capacity), 0.01)
 		part = max(part, min(1/used-1, maxFallStep))
 	}
-	want := part * l.aboveLevel()
-	for l.current > 0 {
+	width := float32(chain.MaxPriority - l.current)
+	density := l.aboveLevel() / width
+	if density == 0 {
+		density = 1
+	}
+	for want := part * density * width; l.current > 0 && want > 0; {
 		l.current--
-		want -= l.histogram[l.current]
-		if want <= 0 && l.histogram[l.current] > 0 {
-			return
-		}
+		want -= max(l.histogram[l.current], density)
 	}
 }
 
