core/feed: members that join between two restarts of relays are kept

Found by the relay restart test under load: one member of eight was missing for a moment. The members kept while only incomplete tables are known were fixed at the first incomplete table; a second one replaced the tables that listed later members. They are now brought up to date each time. Also fits the control side: Source has the form of control.ConfigSource, reports go to a callback.

--- a/core/feed/member_test.go
+++ b/core/feed/member_test.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// TestRelayRestartsTwice guards against members that joined between two
+// restarts and were lost by the second one.
+func TestRelayRestartsTwice(t *testing.T) {
+	m := NewMerge(1)
+	m.Apply(t0, "r1", full(10, member("a", 1, 1, StateServing)), true, false)
+	m.Apply(t0, "r1", full(11, member("b", 1, 1, StateServing)), true, false)
+	m.Apply(t0, "r1", full(12), true, false)
+	require.Len(t, states(m), 2)
+}
+
 // TestTablesFollow guards against a copy of a table that differs after any
 // series of changes, lost streams and moves to another relay.
 func TestTablesFollow(t *testing.T) {
--- a/core/feed/merge.go
+++ b/core/feed/merge.go
@@ -96,15 +96,19 @@
 }
 
 // retain keeps the present members while only incomplete tables are known.
+// Members that joined since an earlier incomplete table are kept too.
 func (m *Merge) retain() {
-	if m.listings[retained] != nil || len(m.Table.entries) == 0 {
+	if len(m.Table.entries) == 0 {
 		return
 	}
-	kept := &listing{members: make(map[string]*Member, len(m.Table.entries)), incomplete: true}
+	kept := m.listings[retained]
+	if kept == nil {
+		kept = &listing{members: make(map[string]*Member, len(m.Table.entries)), incomplete: true}
+		m.listings[retained] = kept
+	}
 	for id, member := range m.Table.entries {
 		kept.members[id] = member
 	}
-	m.listings[retained] = kept
 }
 
 // replaceListing starts the table of source anew: empty for a full copy, equal
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -44,7 +44,7 @@
 		all[fmt.Sprintf("service-%03d", i)] = strings.Repeat("x", 1000)
 	}
 	source.accept(b, all)
-	control, _ := startControl(b, "control-1", source)
+	control := startControl(b, "control-1", source)
 	own := newAZ(b, "az-0", 3, control)
 	own.traffic = &traffic{}
 	own.remote = map[string][]Endpoint{}
--- a/relay/failure_test.go
+++ b/relay/failure_test.go
@@ -50,7 +50,7 @@
 // the relays come back without memory.
 func TestAllRelaysRestart(t *testing.T) {
 	source := newFakeSource()
-	control, _ := startControl(t, "control-1", source)
+	control := startControl(t, "control-1", source)
 	south, north := newAZ(t, "south-a", 3, control), newAZ(t, "north-a", 3, control)
 	south.remote = map[string][]Endpoint{north.name: north.endpoints}
 	north.remote = map[string][]Endpoint{south.name: south.endpoints}
@@ -109,7 +109,7 @@
 // connection which is open and carries nothing.
 func TestSilentPartition(t *testing.T) {
 	source := newFakeSource()
-	control, _ := startControl(t, "control-1", source)
+	control := startControl(t, "control-1", source)
 	south := newAZ(t, "south-a", 1, control)
 	south.startRelays(t)
 	p := newProxy(t, south.endpoints[0].Address)
@@ -182,8 +182,8 @@
 func TestSourceFailover(t *testing.T) {
 	stale, source := newFakeSource(), newFakeSource()
 	stale.confirmed = false // isolated: it never hears a quorum
-	isolated, _ := startControl(t, "control-1", stale)
-	healthy, _ := startControl(t, "control-2", source)
+	isolated := startControl(t, "control-1", stale)
+	healthy := startControl(t, "control-2", source)
 	south := newAZ(t, "south-a", 3, isolated, healthy)
 	south.startRelays(t)
 	daemon, other := south.startDaemon(t, "d1", "bookings"), south.startDaemon(t, "d2", "bookings")
--- a/relay/feed_test.go
+++ b/relay/feed_test.go
@@ -13,7 +13,7 @@
 // control must come into force at each daemon, with members of each other.
 func TestVersionAndMembersReachDaemons(t *testing.T) {
 	source := newFakeSource()
-	control, server := startControl(t, "control-1", source)
+	control := startControl(t, "control-1", source)
 	south := newAZ(t, "south-a", 3, control)
 	south.startRelays(t)
 	first := south.startDaemon(t, "d1", "bookings")
@@ -40,7 +40,9 @@
 	first.waitFor(t, "gone", func(v *View) bool { return len(v.Members["bookings"]) == 1 })
 
 	require.Eventually(t, func() bool {
-		reported := server.Daemons(context.Background())
-		return len(reported) == 2 && reported[0].GetVersion() == version && reported[0].GetConfirmationAgeMs() >= 0
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		d1 := source.reports["d1"]
+		return len(source.reports) == 2 && d1.GetVersion() == version && d1.GetConfirmationAgeMs() >= 0
 	}, waitTime, tickEvery)
 }
--- a/relay/helpers_test.go
+++ b/relay/helpers_test.go
@@ -27,10 +27,19 @@
 	store     feed.Store
 	changed   chan struct{}
 	confirmed bool
+	reports   map[string]*api.DaemonStatus
+}
+
+func (f *fakeSource) keepReports(list []*api.DaemonStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range list {
+		f.reports[d.GetId()] = d
+	}
 }
 
 func newFakeSource() *fakeSource {
-	return &fakeSource{changed: make(chan struct{}), confirmed: true}
+	return &fakeSource{changed: make(chan struct{}), confirmed: true, reports: map[string]*api.DaemonStatus{}}
 }
 
 func (f *fakeSource) Version() uint64 {
@@ -39,10 +48,11 @@
 	return f.store.Version()
 }
 
-func (f *fakeSource) Since(version uint64) *api.ConfigDelta {
+func (f *fakeSource) Since(version uint64) (uint64, []*api.ServiceDocument, []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return configDeltaOf(f.store.Since(version, nil))
+	d := configDeltaOf(f.store.Since(version, nil))
+	return d.GetToVersion(), d.GetServices(), d.GetRemovedServices()
 }
 
 func (f *fakeSource) Changed() <-chan struct{} {
@@ -51,10 +61,10 @@
 	return f.changed
 }
 
-func (f *fakeSource) Confirmation() (uint64, time.Duration, bool) {
+func (f *fakeSource) ConfirmationAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.store.Version(), 10 * time.Millisecond, f.confirmed
+	return 10 * time.Millisecond, f.confirmed
 }
 
 // accept applies a change of documents and returns its version.
@@ -271,8 +281,8 @@
 	return found
 }
 
-func startControl(tb testing.TB, name string, source Source) (Endpoint, *ControlServer) {
-	c := NewControlServer(ControlConfig{Name: name, Source: source})
+func startControl(tb testing.TB, name string, source *fakeSource) Endpoint {
+	c := NewControlServer(ControlConfig{Name: name, Source: source, OnReports: source.keepReports})
 	address, _ := serve(tb, "", c, c.Run)
-	return Endpoint{Name: name, Address: address}, c
+	return Endpoint{Name: name, Address: address}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,7 +14,8 @@
 
 // RelayConfig configures a relay.
 type RelayConfig struct {
-	Name             string
+	Name             string // its name in Relays
+	ID               string // what it subscribes as, the id of its certificate; empty means Name
 	Region           string
 	AvailabilityZone string
 	// Sources serve the configuration, preferred first: control replicas, or
@@ -72,6 +73,9 @@
 func NewRelay(cfg RelayConfig) (*Relay, error) {
 	now := time.Now()
 	lp := newLoop()
+	if cfg.ID == "" {
+		cfg.ID = cfg.Name
+	}
 	r := &Relay{
 		cfg:     cfg,
 		log:     logger(cfg.Log),
@@ -248,7 +252,7 @@
 	}
 	l.subscribe = false
 	q.Initial = true
-	q.Subscriber = r.cfg.Name
+	q.Subscriber = r.cfg.ID
 	q.AvailabilityZone = r.cfg.AvailabilityZone
 	q.Region = r.cfg.Region
 	q.Relay = true
