--- a/relay/feed_test.go
+++ b/relay/feed_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/feed"
 )
 
@@ -46,3 +48,28 @@
 		return len(source.reports) == 2 && d1.GetVersion() == version && d1.GetConfirmationAgeMs() >= 0
 	}, waitTime, tickEvery)
 }
+
+// TestSlowSubscriber guards against updates that pile up for a subscriber that
+// doesn't read: it gets one update with the sum of the changes.
+func TestSlowSubscriber(t *testing.T) {
+	r, err := NewRelay(RelayConfig{Name: "r", AvailabilityZone: "az-0", Relays: []Endpoint{{Name: "r"}}})
+	require.NoError(t, err)
+	s := &subscriber{wantConfig: true, dirty: true, out: make(chan *api.SyncUpdate, 1)}
+	r.subscribers[s] = true
+	apply := func(from, to uint64, name string) {
+		d := feed.Delta{From: from, To: to, Changed: []feed.Document{{Service: name}}}
+		require.NoError(t, r.store.Apply(d))
+		r.markAll()
+		r.hub.flush(time.Now())
+	}
+	apply(0, 1, "a")
+	require.Equal(t, uint64(1), (<-s.out).GetConfig().GetToVersion())
+	apply(1, 2, "b") // the first update is still being sent
+	apply(2, 3, "c")
+	require.Empty(t, s.out)
+	s.busy = false
+	r.hub.flush(time.Now())
+	u := <-s.out
+	require.Equal(t, uint64(1), u.GetConfig().GetFromVersion())
+	require.Len(t, u.GetConfig().GetServices(), 2)
+}
