--- a/core/feed/quorum_test.go
+++ b/core/feed/quorum_test.go
@@ -98,6 +98,7 @@
 	nodes    map[string]*simNode
 	streams  []*simStream
 	forced   int
+	eager    bool // mutation: relays count before they have completed their start
 	err      error
 }
 
@@ -256,7 +257,7 @@
 func (w *simulation) evaluate(n *simNode) {
 	n.sub.Choose(w.now, n.held())
 	if n.relay {
-		n.started = n.sub.Started(n.store.Version())
+		n.started = n.sub.Started(n.store.Version()) || w.eager
 		return
 	}
 	v, ok, _ := w.rule(n.sub, n.staged.Versions())
@@ -356,10 +357,14 @@
 
 func runSchedule(schedule []action, relays int, r rule) *simulation {
 	w := newSimulation(relays, 2, r)
+	w.run(schedule)
+	return w
+}
+
+func (w *simulation) run(schedule []action) {
 	for _, st := range schedule {
 		w.apply(st)
 	}
-	return w
 }
 
 // TestVersionInForceNeverDecreases guards against a reversal of the version in
@@ -379,11 +384,13 @@
 // TestMutationsAreCaught guards against a property that holds for any rule:
 // each weakened rule must lead to a reversal in some schedule.
 func TestMutationsAreCaught(t *testing.T) {
-	mutations := map[string]rule{"newest of whichever answers": newestRule, "without floor": noFloorRule}
+	mutations := map[string]rule{"newest of whichever answers": newestRule, "without floor": noFloorRule, "eager relays": quorumRule}
 	for name, mutation := range mutations {
 		t.Run(name, func(t *testing.T) {
 			for seed := range 20000 {
-				if w := runSchedule(schedules.Example(seed), 3, mutation); w.err != nil {
+				w := newSimulation(3, 2, mutation)
+				w.eager = name == "eager relays"
+				if w.run(schedules.Example(seed)); w.err != nil {
 					t.Logf("seed %d: %v", seed, w.err)
 					return
 				}
--- a/relay/daemon.go
+++ b/relay/daemon.go
@@ -45,6 +45,7 @@
 	Confirmed bool
 	Version   uint64 // in force
 	// FreshAt is the time of the newest confirmation by control, zero if none.
+	// It advances about once a second.
 	FreshAt   time.Time
 	Source    string            // relay that is followed, empty if none
 	Documents map[string][]byte // canonical JSON by service
@@ -78,9 +79,9 @@
 	refetch     bool
 	refetchSent *refetch
 
-	changed bool // the view differs from the last one given out
-	renewAt time.Time
-	viewAt  time.Time
+	changed   bool // the view differs from the last one given out
+	renewAt   time.Time
+	viewFresh time.Time // FreshAt of the last view
 }
 
 // refetch is the request that asked for a full copy.
@@ -266,9 +267,6 @@
 	}
 	d.dropListings(now)
 	d.evaluate(now)
-	if now.Sub(d.viewAt) >= time.Second {
-		d.changed = true
-	}
 }
 
 // dropListings forgets what a relay listed that has been unreachable for a
--- a/relay/daemon_feed.go
+++ b/relay/daemon_feed.go
@@ -49,9 +49,17 @@
 	for _, m := range u.GetMembers() {
 		d.applyMembers(now, l, m)
 	}
+	if fresh, ok := d.freshAt(now); ok && fresh.Sub(d.viewFresh) >= feed.RenewEvery/2 {
+		d.changed = true
+	}
 	d.evaluate(now)
 }
 
+func (d *Daemon) freshAt(now time.Time) (time.Time, bool) {
+	age, _, _, ok := d.sub.Confirmation(now)
+	return now.Add(-age), ok
+}
+
 // stage queues a received delta until a majority of relays holds its version.
 func (d *Daemon) stage(l *link, echo uint64, c *api.ConfigDelta) {
 	if err := d.staged.Add(deltaOf(c)); err != nil {
@@ -201,11 +209,11 @@
 	if !d.changed || d.cfg.OnView == nil {
 		return
 	}
-	d.changed, d.viewAt = false, now
+	d.changed = false
 	v := &View{Source: d.sub.Chosen(), Members: d.byName}
 	v.Version, v.Documents, v.Confirmed = d.staged.InForce()
-	if age, _, _, ok := d.sub.Confirmation(now); ok {
-		v.FreshAt = now.Add(-age)
+	if fresh, ok := d.freshAt(now); ok {
+		v.FreshAt, d.viewFresh = fresh, fresh
 	}
 	d.cfg.OnView(v)
 }
--- a/relay/failure_test.go
+++ b/relay/failure_test.go
@@ -105,6 +105,29 @@
 	}
 }
 
+// TestRelayBehindRelay guards the order of sources by which one relay fetches
+// across a metered link for others: versions come through it, reports go back
+// through it, and confirmations stay fresh on the longer way.
+func TestRelayBehindRelay(t *testing.T) {
+	source := newFakeSource()
+	near := newAZ(t, "south-a", 1, startControl(t, "control-1", source))
+	near.startRelays(t)
+	far := newAZ(t, "south-b", 3, near.endpoints[0])
+	far.startRelays(t)
+	daemon := far.startDaemon(t, "d1", "bookings")
+	version := source.accept(t, map[string]string{"bookings": "{1}"})
+	daemon.waitVersion(t, version)
+	require.Eventually(t, func() bool {
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		return source.reports["d1"].GetVersion() == version
+	}, waitTime, tickEvery)
+	daemon.waitFor(t, "fresh", func(v *View) bool {
+		age, ok := v.Age(time.Now())
+		return ok && age <= feed.StaleAfter
+	})
+}
+
 // TestSilentPartition guards against a subscriber that waits for good on a
 // connection which is open and carries nothing.
 func TestSilentPartition(t *testing.T) {
--- a/relay/relay_members.go
+++ b/relay/relay_members.go
@@ -203,7 +203,12 @@
 	case api.MemberScope_MEMBER_SCOPE_DIRECT:
 		add(own, "direct", r.direct, !r.leasesComplete)
 	case api.MemberScope_MEMBER_SCOPE_MERGED:
-		add(own, "merged", r.merges[own].Table, !r.merges[own].Complete())
+		// A daemon has the table from the relay it follows. It gets this one
+		// once it is complete, and by then mostly finds that both are equal;
+		// after a restart each daemon would otherwise get all members anew.
+		if complete := r.merges[own].Complete(); complete || s.relay {
+			add(own, "merged", r.merges[own].Table, !complete)
+		}
 	case api.MemberScope_MEMBER_SCOPE_ALL:
 		for az, m := range r.merges {
 			add(az, "merged", m.Table, !m.Complete())
