daemon: swapped handler answers, held-off callers, memory settings

Cause: an upstream that swaps answers went unnoticed; early refusals did not count for the hold-off; the goroutine that sends a body could set a read deadline on a connection whose handler had ended; the collector ran every 10 ms at the default setting. Change: the request id that a handler returns is compared; refusals by level count per caller; the body is closed with its handler; TuneMemory for the program.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -30,6 +30,7 @@
 // BenchmarkCall measures a call with 1 KiB bodies straight to a handler and
 // through two daemons. The difference is what the daemons add.
 func BenchmarkCall(b *testing.B) {
+	TuneMemory()
 	upstream := httptest.NewServer(http.HandlerFunc(echoHandler))
 	defer upstream.Close()
 	back := startNode(b, nodeConfig("back-1", "back"), http.HandlerFunc(echoHandler))
--- a/daemon/body.go
+++ b/daemon/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,7 @@
 	if _, err := io.ReadFull(b.stream, whole); err != nil {
 		return chain.Wrap(chain.NotRun, b.stream.reason(), "the body could not be read", err)
 	}
-	b.stream.finish()
+	b.stream.finish() // HTTP/2 reports the end separately
 	b.whole, b.stream = whole, nil
 	return nil
 }
@@ -102,11 +103,14 @@
 	src      io.Reader
 	limit    int64
 	stall    time.Duration
-	control  *http.ResponseController
 	total    int64
 	deadline time.Time
 	progress int64 // bytes in the current interval
 	failed   atomic.Pointer[chain.Reason]
+
+	mu      sync.Mutex // guards control
+	control *http.ResponseController
+	closed  bool
 }
 
 // Read implements io.Reader.
@@ -139,12 +143,37 @@
 		return
 	}
 	b.deadline, b.progress = now.Add(b.stall), 0
-	_ = b.control.SetReadDeadline(b.deadline) // not supported by test recorders only
+	b.setDeadline(b.deadline)
 }
 
 // finish lifts the deadline, which would otherwise end the server's own
 // reading that notices when a caller leaves.
-func (b *bodyReader) finish() { _ = b.control.SetReadDeadline(time.Time{}) }
+func (b *bodyReader) finish() {
+	if !b.deadline.IsZero() {
+		b.deadline = time.Time{}
+		b.setDeadline(time.Time{})
+	}
+}
+
+func (b *bodyReader) setDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.closed {
+		_ = b.control.SetReadDeadline(t) // not supported by test recorders only
+	}
+}
+
+// close ends the use of the connection. The goroutine of net/http that sends
+// the body may outlive the handler after an early answer; a deadline that it
+// set then would hit the next request on the connection.
+func (b *body) close() {
+	if b == nil || b.stream == nil {
+		return
+	}
+	b.stream.mu.Lock()
+	defer b.stream.mu.Unlock()
+	b.stream.closed = true
+}
 
 func (b *bodyReader) fail(reason chain.Reason, err error) error {
 	b.failed.CompareAndSwap(nil, &reason)
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -29,6 +29,7 @@
 	body    *body
 	version uint64
 	tried   []string
+	entered bool // came from a caller, not from the local service
 }
 
 // attempt is the result of one attempt: an answer, a failure, or an answer
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,7 +91,7 @@
 		cfg: cfg, log: cfg.Logger, metrics: newMetrics(), ids: newIDSource(cfg.Seed, cfg.Boot, cfg.ID),
 		handles: newHandles(), levels: &admit.Levels{}, holdOff: retry.NewHoldOff(retry.HoldOffConfig{}),
 		peerScheme: "http", targets: make(map[string]*target), drain: make(chan struct{}),
-		claimSlots: make(chan struct{}, maxBackgroundClaims), healthClient: &http.Client{},
+		claimSlots: make(chan struct{}, maxBackgroundClaims), healthClient: &http.Client{Transport: newTransport(nil, 1)},
 		stateSequence: 1,
 	}
 	if cfg.ClientTLS != nil {
--- a/daemon/entrance.go
+++ b/daemon/entrance.go
@@ -37,9 +37,11 @@
 func (d *Daemon) serveCall(w http.ResponseWriter, r *http.Request, fill prepare) {
 	c := &call{d: d, arrived: d.cfg.Now(), method: r.Method, host: r.Host, header: r.Header}
 	if refused, ok := d.prepareCall(c, w, r, fill); !ok {
+		d.noteRefusal(c, r, refused.failure, c.arrived)
 		d.refuseCall(w, c, refused)
 		return
 	}
+	defer c.body.close()
 	ctx, cancel := context.WithTimeout(r.Context(), c.context.Remaining(c.arrived))
 	defer cancel()
 	c.ctx = ctx
@@ -53,14 +55,21 @@
 	c.owner.done(now, number, failure == nil)
 	d.metrics.answered(failure)
 	d.recordAnswer(c, failure, now)
-	if failure != nil && failure.RetryableByCaller() && c.context.Depth == 0 {
-		d.holdOff.OnRefusalClass(now, callerAddress(r), c.context.Priority.Class())
-	}
+	d.noteRefusal(c, r, failure, now)
 	if cut {
 		panic(http.ErrAbortHandler) // closes the connection, so that the part is not taken for the whole
 	}
 }
 
+// noteRefusal remembers callers that were refused under load, so that those
+// that go on regardless are held off.
+func (d *Daemon) noteRefusal(c *call, r *http.Request, f *chain.Failure, now time.Time) {
+	if f == nil || !c.entered || f.Reason != chain.ReasonOverload && f.Reason != chain.ReasonDownstream {
+		return
+	}
+	d.holdOff.OnRefusalClass(now, callerAddress(r), c.context.Priority.Class())
+}
+
 // prepareCall parses a request. It returns false with the refusal.
 func (d *Daemon) prepareCall(c *call, w http.ResponseWriter, r *http.Request, fill prepare) (refusal, bool) {
 	inForce, failure := d.confirmed()
@@ -143,6 +152,7 @@
 	if refused, ok := d.rootCall(c, r); !ok {
 		return refused, false
 	}
+	c.entered = true
 	class := c.context.Priority.Class()
 	if ok, after := d.holdOff.AllowClass(c.arrived, callerAddress(r), class); !ok {
 		f := chain.NewFailure(chain.NotRun, chain.ReasonHeldOff, "too many calls after refusals; honour Retry-After")
--- a/daemon/faults_test.go
+++ b/daemon/faults_test.go
@@ -98,6 +98,19 @@
 	}
 }
 
+// TestCrossedHandlerAnswers guards against an upstream that swaps the answers
+// of two requests, which it shows by the request id that it returns.
+func TestCrossedHandlerAnswers(t *testing.T) {
+	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequestID, strings.TrimPrefix(r.Header.Get(headerRequestID), "swapped-"))
+		_, _ = io.WriteString(w, "answer")
+	}))
+	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back)
+	require.Equal(t, "answer", readAll(t, back.ask("POST", "/b/y", nil, headerRequestID, "one")))
+	resp := back.ask("POST", "/b/y", nil, headerRequestID, "swapped-two")
+	requireRefusal(t, resp, 502, chain.Unknown, chain.ReasonCrossed)
+}
+
 // TestBrokenConnectionIsUnknown guards against a refusal that says not-run
 // although the request was written, and against resending such work.
 func TestBrokenConnectionIsUnknown(t *testing.T) {
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -30,6 +30,12 @@
 	if failure != nil {
 		return handlerResult{failure: failure}
 	}
+	if id := resp.Header.Get(headerRequestID); id != "" && id != e.ctx.RequestID {
+		s.abandon()
+		_ = resp.Body.Close() // the connection is closed already
+		in.d.metrics.crossed.Add(1)
+		return handlerResult{failure: chain.NewFailure(chain.Unknown, chain.ReasonCrossed, "the upstream answered another request")}
+	}
 	outcome := handlerOutcome(resp, e)
 	a, failure := in.readAnswer(ctx, resp, s)
 	if failure != nil {
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -41,6 +41,7 @@
 		in.refuse(failure, 0, in.peer.allowance)
 		return
 	}
+	defer in.body.close()
 	ctx, cancel := context.WithTimeout(r.Context(), in.peer.remaining)
 	defer cancel()
 	if in.peer.context.Key != "" && !in.route.Idempotent {
--- a/daemon/policy_test.go
+++ b/daemon/policy_test.go
@@ -83,6 +83,28 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// TestHeldOffCaller guards against a caller that goes on after refusals
+// without a pause. The clock stands still, so that no time refills its bucket.
+func TestHeldOffCaller(t *testing.T) {
+	now := time.Now()
+	cfg := nodeConfig("edge-1", "")
+	cfg.Now = func() time.Time { return now }
+	edge := startNode(t, cfg, nil)
+	connect(t, []declaration.Service{testService("b", testRoute("look", "GET", "/x", true))}, edge)
+	edge.d.levels.Report(now, "b.look", "b-1", admit.Report{Level: chain.MaxPriority})
+	requireRefusal(t, edge.ask("GET", "/b/x", nil), 503, chain.NotRun, chain.ReasonDownstream)
+	for range 1000 {
+		resp := edge.ask("GET", "/b/x", nil)
+		_ = resp.Body.Close()
+		if resp.Header.Get(headerReason) == string(chain.ReasonHeldOff) {
+			require.Equal(t, http.StatusTooManyRequests, resp.StatusCode)
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			return
+		}
+	}
+	require.Fail(t, "the caller was never held off")
+}
+
 // TestHandlerSaysNotRun guards the refusals of upstreams that shed load
 // themselves: the work is sent elsewhere. One that made calls is not believed.
 func TestHandlerSaysNotRun(t *testing.T) {
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -114,10 +114,14 @@
 func (d *Daemon) setLocal(address string) {
 	d.localMu.Lock()
 	defer d.localMu.Unlock()
-	if old := d.local.Load(); old != nil && old.address == address {
+	old := d.local.Load()
+	if old != nil && old.address == address {
 		return
 	}
 	d.local.Store(&localService{address: address, transport: newTransport(nil, d.localCap)})
+	if old != nil {
+		old.transport.CloseIdleConnections()
+	}
 }
 
 func (d *Daemon) setLocalCap(maxConnections int) {
