--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -239,3 +241,76 @@
 	n.d.Kill()
 	require.NoError(t, n.waitEnded())
 }
+
+// TestStopUnderLoad guards P6 and P7: while one upstream's daemon stops and the
+// others have not been told, work that must not be repeated gets whole answers
+// from the other upstream.
+func TestStopUnderLoad(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	cfg := nodeConfig("b-1", "b")
+	cfg.DrainDelay = time.Second
+	leaving, staying := startNode(t, cfg, h), startNode(t, nodeConfig("b-2", "b"), h)
+	edge := startNode(t, nodeConfig("edge-1", ""), nil)
+	svc := testService("b", testRoute("y", "POST", "/y", false))
+	svc.Slots, svc.MaxConnections = 64, 64
+	connect(t, []declaration.Service{svc}, leaving, staying, edge)
+	for range 200 { // fills the retry budget
+		require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/y", nil)))
+	}
+	var workers sync.WaitGroup
+	var calls atomic.Int32
+	ended := make(chan struct{})
+	for range 8 {
+		workers.Go(func() {
+			for stopping := false; !stopping; {
+				select {
+				case <-ended:
+					stopping = true
+				default:
+				}
+				resp, err := edge.tryAsk("POST", "/b/y", nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if body, _ := io.ReadAll(resp.Body); string(body) != "done" {
+					t.Errorf("answer %q", body)
+				}
+				_ = resp.Body.Close()
+				calls.Add(1)
+			}
+		})
+	}
+	leaving.stop()
+	require.NoError(t, leaving.waitEnded())
+	close(ended)
+	workers.Wait()
+	require.Positive(t, calls.Load())
+}
+
+// TestCallerThatDoesNotRead guards against a caller that holds a slot of the
+// upstream by never reading its answer.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	ended := make(chan error, 1)
+	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part := make([]byte, 1<<20)
+		for range 1 << 10 { // more than all the socket buffers on the way hold
+			if _, err := w.Write(part); err != nil {
+				ended <- err
+				return
+			}
+		}
+		ended <- nil
+	}))
+	cfg := nodeConfig("edge-1", "")
+	cfg.BodyStall = 200 * time.Millisecond
+	edge := startNode(t, cfg, nil)
+	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
+	conn, err := net.Dial("tcp", edge.d.Addresses().Entrance)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, postHead(0))
+	require.NoError(t, err)
+	require.Error(t, waitFor(t, ended))
+	require.Eventually(t, func() bool { return back.d.Status().InFlight == 0 }, generous, time.Millisecond)
+}
