--- a/control/replace.go
+++ b/control/replace.go
@@ -22,6 +22,10 @@
 // to the leaders of the groups that it does not lead. A repeated request
 // continues where the first one stopped.
 func (s *Server) ReplaceReplica(ctx context.Context, r *api.ReplaceReplicaRequest) (*api.ReplaceReplicaResponse, error) {
+	if s.empty() {
+		// It knows no leader to forward to. The client asks another process.
+		return nil, status.Error(codes.Unavailable, "this replica does not belong to a group yet")
+	}
 	ref, err := s.identify(ctx, r)
 	if err != nil {
 		return nil, err
--- a/control/replace_test.go
+++ b/control/replace_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control/client"
 	"github.com/bilberrydeck/bilberrydeck/storage"
 )
 
@@ -159,3 +160,20 @@
 	c.publish(cl, 3)
 	c.agree(3)
 }
+
+// TestReplaceAskedAtTheNewReplica guards against a replacement that hangs when
+// the operator's list of addresses contains the new replica, which belongs to
+// no group yet and knows no leader.
+func TestReplaceAskedAtTheNewReplica(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	c.publish(c.client(), 1)
+	c.stop(2)
+	s := c.startAt(4, "127.0.0.1:0")
+	// A client turns to the second address first.
+	cl := client.New(client.Config{Addresses: []string{c.peers[1], s.Addr()}})
+	defer cl.Close()
+	_, err := cl.ReplaceReplica(c.context(), &api.ReplaceReplicaRequest{OldId: 2, NewId: 4, NewAddress: s.Addr()})
+	require.NoError(t, err)
+	c.agree(1)
+}
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -166,13 +167,27 @@
 	require.FailNow(t, "timed out waiting", what)
 }
 
-// freePort reserves an address on loopback. Another process could take it
-// before it is used; the range of ports makes that unlikely.
+// nextPort counts below the range from which the system takes the ports of
+// outgoing connections: a connection must not occupy an address that a process
+// is about to listen on.
+var nextPort = func() *atomic.Int32 {
+	p := &atomic.Int32{}
+	p.Store(int32(15_000 + os.Getpid()%120*100))
+	return p
+}()
+
+// freePort returns an address on loopback that nothing listens on.
 func freePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Helper()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			require.NoError(t, l.Close())
+			return address
+		}
+	}
+	require.FailNow(t, "no free port")
+	return ""
 }
 
 func writeFile(t testing.TB, dir, name, text string) string {
