--- a/daemon/admin_test.go
+++ b/daemon/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,7 +20,7 @@
 // to another service or another VM, and checks the way to the serving state.
 func TestAnnounce(t *testing.T) {
 	n := startNode(t, nodeConfig("a-1", "a"), nil)
-	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n)
+	connect(t, []declaration.Service{testService("a", routeX)}, n)
 	url := "http://" + n.d.Addresses().Admin + "/announce"
 	for _, body := range []string{
 		`{"service":"b","address":"http://127.0.0.1:1"}`,
@@ -57,13 +58,14 @@
 		}
 	})
 	probe := startNode(t, nodeConfig("probe", ""), nil)
-	server := newServerForTest(t, health)
+	server := httptest.NewServer(health)
+	t.Cleanup(server.Close)
 	cfg := nodeConfig("a-1", "a")
-	cfg.HealthURL, cfg.HealthEvery = server, 5*time.Millisecond
+	cfg.HealthURL, cfg.HealthEvery = server.URL, 5*time.Millisecond
 	silent := startNode(t, cfg, nil)
 	cfg.ID = "a-2"
 	n := startNode(t, cfg, health)
-	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n, silent, probe)
+	connect(t, []declaration.Service{testService("a", routeX)}, n, silent, probe)
 	waitServing(t, n, probe)
 	healthy.Store(false)
 	state := func(want api.UpstreamState) func() bool { return func() bool { return n.d.State() == want } }
@@ -78,7 +80,7 @@
 // TestStatusAndVars guards the documents that operators and scripts read.
 func TestStatusAndVars(t *testing.T) {
 	n := startNode(t, nodeConfig("a-1", "a"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n)
+	connect(t, []declaration.Service{testService("a", routeX)}, n)
 	require.Equal(t, 200, n.ask("GET", "/a/x", nil).StatusCode)
 	require.Equal(t, 404, n.ask("GET", "/a/y", nil).StatusCode)
 	var status Status
@@ -109,7 +111,7 @@
 // a declaration with bad patterns changes nothing.
 func TestSnapshotRules(t *testing.T) {
 	n := startNode(t, nodeConfig("a-1", "a"), nil)
-	good := testService("a", testRoute("x", "GET", "/x", true))
+	good := testService("a", routeX)
 	set := func(version uint64, svc declaration.Service) error {
 		return n.d.SetSnapshot(&Snapshot{Version: version, Confirmed: true, Services: map[string]declaration.Service{"a": svc}})
 	}
--- a/daemon/body_test.go
+++ b/daemon/body_test.go
@@ -43,17 +43,13 @@
 // passed on.
 func TestBodyFaults(t *testing.T) {
 	var whole atomic.Int32
-	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	route := routeY
+	route.MaxBody = 1 << 20
+	edge, _ := startPair(t, func(_ http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err == nil {
 			whole.Add(1)
 		}
-	}))
-	cfg := nodeConfig("edge-1", "")
-	cfg.BodyStall = 200 * time.Millisecond
-	edge := startNode(t, cfg, nil)
-	route := testRoute("y", "POST", "/y", false)
-	route.MaxBody = 1 << 20
-	connect(t, []declaration.Service{testService("b", route)}, back, edge)
+	}, []declaration.Route{route}, func(c *Config) { c.BodyStall = 200 * time.Millisecond })
 	large := strings.Repeat("x", 100_000)
 	t.Run("short small body", func(t *testing.T) {
 		requireRefusal(t, rawRequest(t, edge, postHead(10)+"12345", true), 400, chain.NotRun, chain.ReasonBodyLength)
@@ -122,9 +118,9 @@
 	}
 }
 
-// TestStaleConnectionIsRedialled guards against a failure, or a spent retry,
-// because the peer closed an idle pooled connection.
-func TestStaleConnectionIsRedialled(t *testing.T) {
+// TestAbandonedConnection guards the count of bytes behind not-run: a write that
+// failed does not count, and none follows once the attempt has ended.
+func TestAbandonedConnection(t *testing.T) {
 	c, peer := net.Pipe()
 	require.NoError(t, peer.Close())
 	stale := &countingConn{Conn: c}
@@ -139,16 +135,14 @@
 // TestHeadAndEmptyAnswers guards the answers that have a length but no body,
 // or neither.
 func TestHeadAndEmptyAnswers(t *testing.T) {
-	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	edge, _ := startPair(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/none" {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
 		w.Header().Set("Content-Length", "5")
 		_, _ = io.WriteString(w, "12345")
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{testService("b", testRoute("x", "GET", "/x", true), testRoute("none", "GET", "/none", true))}, back, edge)
+	}, []declaration.Route{routeX, testRoute("none", "GET", "/none", true)})
 	resp := edge.ask("HEAD", "/b/x", nil)
 	require.Equal(t, 200, resp.StatusCode)
 	require.EqualValues(t, 5, resp.ContentLength)
@@ -161,15 +155,13 @@
 // TestStreamedBodies guards the order and completeness of bodies larger than
 // the copy buffer in both directions, with and without an announced length.
 func TestStreamedBodies(t *testing.T) {
-	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	edge, _ := startPair(t, func(w http.ResponseWriter, r *http.Request) {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		if r.ContentLength > 0 {
 			w.Header().Set("Content-Length", fmt.Sprint(r.ContentLength))
 		}
 		_, _ = io.Copy(w, r.Body)
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
+	}, []declaration.Route{routeY})
 	var sb strings.Builder
 	for i := range 200_000 {
 		fmt.Fprintf(&sb, "%d,", i)
@@ -183,14 +175,12 @@
 // TestUnencryptedHTTP2 guards the second protocol of callers, including the
 // cut of a truncated answer.
 func TestUnencryptedHTTP2(t *testing.T) {
-	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	edge, _ := startPair(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/cut" {
 			cutAnswer(w, 1<<20)
 		}
 		_, _ = io.WriteString(w, "whole")
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{testService("b", testRoute("x", "GET", "/x", true), testRoute("cut", "GET", "/cut", true))}, back, edge)
+	}, []declaration.Route{routeX, testRoute("cut", "GET", "/cut", true)})
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
--- a/daemon/claims_test.go
+++ b/daemon/claims_test.go
@@ -221,9 +221,7 @@
 // the upstream was not reached.
 func TestProvedNotRunReleasesKey(t *testing.T) {
 	claims := newFakeClaims()
-	edge, backs := claimNodes(t, claims, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "done")
-	}))
+	edge, backs := claimNodes(t, claims, respond("done"))
 	backs[0].upstream.Close()
 	for range 2 { // the retry budget starts with two
 		require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/orders", nil, headerKey, newKey(t))))
--- a/daemon/faults_test.go
+++ b/daemon/faults_test.go
@@ -34,11 +34,9 @@
 func TestTruncatedAnswerIsNeverWhole(t *testing.T) {
 	for name, length := range map[string]int{"large": 1 << 20, "chunked": -1} {
 		t.Run(name, func(t *testing.T) {
-			back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			edge, back := startPair(t, func(w http.ResponseWriter, _ *http.Request) {
 				cutAnswer(w, length)
-			}))
-			edge := startNode(t, nodeConfig("edge-1", ""), nil)
-			connect(t, []declaration.Service{testService("b", testRoute("x", "GET", "/x", true))}, back, edge)
+			}, []declaration.Route{routeX})
 			resp, err := edge.tryAsk("GET", "/b/x", nil)
 			if err == nil {
 				_, err = io.ReadAll(resp.Body)
@@ -64,7 +62,7 @@
 	one, two := startNode(t, nodeConfig("b-1", "b"), h), startNode(t, nodeConfig("b-2", "b"), h)
 	edge := startNode(t, nodeConfig("edge-1", ""), nil)
 	connect(t, []declaration.Service{testService("b",
-		testRoute("x", "GET", "/x", true), testRoute("y", "POST", "/y", false))}, one, two, edge)
+		routeX, routeY)}, one, two, edge)
 	require.Equal(t, "whole", readAll(t, edge.ask("GET", "/b/x", nil)))
 	require.EqualValues(t, 2, runs.Load())
 	runs.Store(0)
@@ -89,9 +87,7 @@
 				_, _ = io.WriteString(w, "the answer of another customer")
 			}))
 			t.Cleanup(peer.Close)
-			edge := startNode(t, nodeConfig("edge-1", ""), nil)
-			snapshot := connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, edge)
-			setUpstream(t, edge, snapshot, "b", peer.Listener.Addr().String())
+			edge := startEdge(t, peer.Listener.Addr().String())
 			requireRefusal(t, edge.ask("POST", "/b/y", nil), 502, chain.Unknown, chain.ReasonCrossed)
 			require.EqualValues(t, 1, edge.d.metrics.crossed.Value())
 		})
@@ -105,7 +101,7 @@
 		w.Header().Set(headerRequestID, strings.TrimPrefix(r.Header.Get(headerRequestID), "swapped-"))
 		_, _ = io.WriteString(w, "answer")
 	}))
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back)
+	connect(t, []declaration.Service{testService("b", routeY)}, back)
 	require.Equal(t, "answer", readAll(t, back.ask("POST", "/b/y", nil, headerRequestID, "one")))
 	resp := back.ask("POST", "/b/y", nil, headerRequestID, "swapped-two")
 	requireRefusal(t, resp, 502, chain.Unknown, chain.ReasonCrossed)
@@ -121,9 +117,7 @@
 		}
 		_ = conn.Close()
 	})
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	snapshot := connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, edge)
-	setUpstream(t, edge, snapshot, "b", listener)
+	edge := startEdge(t, listener)
 	for _, body := range []string{"", "some work"} {
 		received.Store(0)
 		requireRefusal(t, edge.ask("POST", "/b/y", strings.NewReader(body)), 502, chain.Unknown, chain.ReasonUpstreamError)
@@ -135,17 +129,10 @@
 // work is resent although it is not idempotent.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	const closed = "127.0.0.1:1" // outside the range of ports that listeners are given
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	snapshot := connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, edge)
-	setUpstream(t, edge, snapshot, "b", closed)
-	requireRefusal(t, edge.ask("POST", "/b/y", nil), 503, chain.NotRun, chain.ReasonConnect)
+	requireRefusal(t, startEdge(t, closed).ask("POST", "/b/y", nil), 503, chain.NotRun, chain.ReasonConnect)
 
-	back := startNode(t, nodeConfig("b-2", "b"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "done")
-	}))
-	edge = startNode(t, nodeConfig("edge-2", ""), nil)
-	snapshot = connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
-	setUpstream(t, edge, snapshot, "b", closed, back.d.Addresses().Peer)
+	_, back := startPair(t, respond("done"), []declaration.Route{routeY})
+	edge := startEdge(t, closed, back.d.Addresses().Peer)
 	for range 2 { // the retry budget starts with two
 		require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/y", nil)))
 	}
@@ -155,24 +142,12 @@
 // of a chain for one failure at its end.
 func TestHandlerFailureBelowIsNotRetriedAbove(t *testing.T) {
 	var runs atomic.Int32
-	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(500)
-	}))
-	var front *node
-	front = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	edge, _ := startChain(t, routeX, func(w http.ResponseWriter, _ *http.Request, below func() (int, string)) {
 		runs.Add(1)
-		resp, err := callBelow(r.Context(), front, r.Header.Get(headerChain), "GET", "/deep/x")
-		if err == nil {
-			_ = resp.Body.Close()
-		}
+		below()
 		w.WriteHeader(500)
 		_, _ = io.WriteString(w, "front failed")
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{
-		testService("front", testRoute("x", "GET", "/x", true)),
-		testService("deep", testRoute("x", "GET", "/x", true)),
-	}, deep, front, edge)
+	}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })
 	resp := edge.ask("GET", "/front/x", nil)
 	require.Equal(t, "front failed", readAll(t, resp), "a handler's own answer is passed on")
 	require.Equal(t, 500, resp.StatusCode)
@@ -190,7 +165,7 @@
 	var services []declaration.Service
 	for i := range depth {
 		name := "s" + strconv.Itoa(i)
-		services = append(services, testService(name, testRoute("x", "GET", "/x", true)))
+		services = append(services, testService(name, routeX))
 		for j := range 2 {
 			var n *node
 			n = startNode(t, nodeConfig(name+"-"+strconv.Itoa(j), name), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -221,15 +196,6 @@
 	require.LessOrEqual(t, runs[depth-1].Load(), int32(3*requests))
 }
 
-// setUpstream replaces the upstreams of one service at one node.
-func setUpstream(t *testing.T, n *node, base *Snapshot, service string, addresses ...string) {
-	t.Helper()
-	next := *base
-	next.Version++
-	next.Upstreams = upstreamsOf(service, addresses...)
-	require.NoError(t, n.d.SetSnapshot(&next))
-}
-
 // rawServer accepts connections and hands them to serve.
 func rawServer(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -81,15 +81,7 @@
 }
 
 // waitEnded waits for the daemon's Run.
-func (n *node) waitEnded() error {
-	select {
-	case err := <-n.ended:
-		return err
-	case <-time.After(generous):
-		require.FailNow(n.t, "the daemon did not end")
-		return nil
-	}
-}
+func (n *node) waitEnded() error { return waitFor(n.t, n.ended) }
 
 // connect gives all nodes one snapshot with the given services.
 func connect(t testing.TB, services []declaration.Service, nodes ...*node) *Snapshot {
@@ -128,6 +120,54 @@
 	}
 }
 
+// Routes that most tests use.
+var (
+	routeX = testRoute("x", "GET", "/x", true)
+	routeY = testRoute("y", "POST", "/y", false)
+)
+
+// startPair runs a service "b" of one upstream with its routes, and an edge
+// whose configuration may be changed.
+func startPair(t testing.TB, handler http.HandlerFunc, routes []declaration.Route, change ...func(*Config)) (edge, back *node) {
+	t.Helper()
+	back = startNode(t, nodeConfig("b-1", "b"), handler)
+	cfg := nodeConfig("edge-1", "")
+	for _, f := range change {
+		f(&cfg)
+	}
+	edge = startNode(t, cfg, nil)
+	connect(t, []declaration.Service{testService("b", routes...)}, back, edge)
+	return edge, back
+}
+
+// chainHandler handles a request at the front of a chain of two services.
+// Below makes the call to the second one and returns its status and body. It
+// does not watch the context of the request, so that only the daemon can
+// cancel the call.
+type chainHandler func(w http.ResponseWriter, r *http.Request, below func() (int, string))
+
+// startChain runs the services "front", with one route, and "deep", with
+// routeX, and an edge.
+func startChain(t testing.TB, route declaration.Route, front chainHandler, deep http.HandlerFunc) (edge, frontNode *node) {
+	t.Helper()
+	deepNode := startNode(t, nodeConfig("deep-1", "deep"), deep)
+	frontNode = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		front(w, r, func() (int, string) {
+			resp, err := callBelow(context.Background(), frontNode, r.Header.Get(headerChain), "GET", "/deep/x")
+			if err != nil {
+				return 0, err.Error()
+			}
+			defer resp.Body.Close()
+			b, _ := io.ReadAll(resp.Body)
+			return resp.StatusCode, string(b)
+		})
+	}))
+	edge = startNode(t, nodeConfig("edge-1", ""), nil)
+	connect(t, []declaration.Service{testService("front", route), testService("deep", routeX)}, deepNode, frontNode, edge)
+	waitServing(t, deepNode, frontNode, edge)
+	return edge, frontNode
+}
+
 // ask sends a request to the entrance of a node.
 func (n *node) ask(method, path string, body io.Reader, headers ...string) *http.Response {
 	n.t.Helper()
@@ -183,48 +223,42 @@
 	}
 }
 
-// upstreamsOf lists upstreams by address only.
-func upstreamsOf(service string, addresses ...string) map[string][]balance.Upstream {
-	out := make(map[string][]balance.Upstream)
+// startEdge runs an edge that knows the upstreams of service "b" by address.
+func startEdge(t testing.TB, addresses ...string) *node {
+	t.Helper()
+	n := startNode(t, nodeConfig("edge-1", ""), nil)
+	s := &Snapshot{Confirmed: true, Services: map[string]declaration.Service{"b": testService("b", routeY)}}
+	s.Upstreams = make(map[string][]balance.Upstream)
 	for _, address := range addresses {
-		out[service] = append(out[service], balance.Upstream{
-			ID: service + "@" + address, Address: address, Region: testRegion, AvailabilityZone: testZone, Slots: 8,
+		s.Upstreams["b"] = append(s.Upstreams["b"], balance.Upstream{
+			ID: address, Address: address, Region: testRegion, AvailabilityZone: testZone, Slots: 8,
 		})
 	}
-	return out
+	require.NoError(t, n.d.SetSnapshot(s))
+	return n
+}
+
+// respond is a handler with a fixed answer.
+func respond(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
 }
 
 // waitFor receives from a channel with a generous limit.
-func waitFor[T any](t testing.TB, c <-chan T) T {
+func waitFor[T any](t testing.TB, c <-chan T) (v T) {
 	t.Helper()
 	select {
-	case v := <-c:
-		return v
+	case v = <-c:
 	case <-time.After(generous):
 		require.FailNow(t, "nothing came")
-		panic("not reached")
 	}
-}
-
-func contextOf(t testing.TB) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	return ctx, cancel
+	return v
 }
 
 // closedFor reports whether an address refuses connections.
 func closedFor(address string) bool {
 	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return true
+	if err == nil {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
-	return false
-}
-
-func newServerForTest(t testing.TB, h http.Handler) (url string) {
-	t.Helper()
-	server := httptest.NewServer(h)
-	t.Cleanup(server.Close)
-	return server.URL
+	return err != nil
 }
--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -21,23 +22,13 @@
 // who has left: the handler two services down must see the cancellation.
 func TestCallerLeavesWhileRunning(t *testing.T) {
 	entered, cancelled := make(chan struct{}), make(chan struct{})
-	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	edge, _ := startChain(t, testRoute("x", "POST", "/x", true), func(_ http.ResponseWriter, _ *http.Request, below func() (int, string)) {
+		below()
+	}, func(_ http.ResponseWriter, r *http.Request) {
 		close(entered)
 		<-r.Context().Done()
 		close(cancelled)
-	}))
-	var front *node
-	front = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		resp, err := callBelow(t.Context(), front, r.Header.Get(headerChain), "GET", "/deep/x")
-		if err == nil {
-			_ = resp.Body.Close()
-		}
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{
-		testService("front", testRoute("x", "POST", "/x", true)),
-		testService("deep", testRoute("x", "GET", "/x", true)),
-	}, deep, front, edge)
+	})
 	leave := askAndLeave(t, edge, "POST", "/front/x", "")
 	waitFor(t, entered)
 	leave()
@@ -82,7 +73,8 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	ctx, cancel := contextOf(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	go func() {
 		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r.WithContext(ctx))
 		if err == nil {
@@ -96,39 +88,23 @@
 // and of the entrance interrupts no upload, and the exit listener serves the
 // handler to its end.
 func TestDrainWithSlowUpload(t *testing.T) {
-	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "stored")
-	}))
 	started := make(chan struct{})
-	var photos *node
-	photos = startNode(t, nodeConfig("photos-1", "photos"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	upload := testRoute("upload", "POST", "/upload", false)
+	upload.Body = declaration.BodyStream
+	edge, photos := startChain(t, upload, func(w http.ResponseWriter, r *http.Request, below func() (int, string)) {
 		close(started)
 		n, err := io.Copy(io.Discard, r.Body)
 		if err != nil {
 			w.WriteHeader(500)
 			return
 		}
-		resp, err := callBelow(r.Context(), photos, r.Header.Get(headerChain), "GET", "/deep/x")
-		if err != nil {
-			w.WriteHeader(500)
-			return
-		}
-		below, _ := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		_, _ = io.WriteString(w, string(below)+strings.Repeat(".", int(n/100_000)))
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	upload := testRoute("upload", "POST", "/upload", false)
-	upload.Body = declaration.BodyStream
-	connect(t, []declaration.Service{
-		testService("photos", upload), testService("deep", testRoute("x", "GET", "/x", true)),
-	}, deep, photos, edge)
-	waitServing(t, deep, photos, edge)
-
+		_, stored := below()
+		_, _ = io.WriteString(w, stored+strings.Repeat(".", int(n/100_000)))
+	}, respond("stored"))
 	body, sender := io.Pipe()
 	answer := make(chan *http.Response, 1)
 	go func() {
-		resp, err := edge.tryAsk("POST", "/photos/upload", body)
+		resp, err := edge.tryAsk("POST", "/front/upload", body)
 		if err == nil {
 			answer <- resp
 		}
@@ -159,12 +135,11 @@
 // TestDrainingGateRefuses guards P6 for daemons that do not know of the drain
 // yet: new work is refused as not-run and goes elsewhere.
 func TestDrainingGateRefuses(t *testing.T) {
-	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
 	cfg := nodeConfig("b-1", "b")
 	cfg.DrainDelay = generous
-	leaving, staying := startNode(t, cfg, h), startNode(t, nodeConfig("b-2", "b"), h)
+	leaving, staying := startNode(t, cfg, respond("served")), startNode(t, nodeConfig("b-2", "b"), respond("served"))
 	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, leaving, staying, edge)
+	connect(t, []declaration.Service{testService("b", routeY)}, leaving, staying, edge)
 	leaving.stop()
 	require.Eventually(t, func() bool { return leaving.d.State() == api.UpstreamState_UPSTREAM_STATE_DRAINING }, generous, time.Millisecond)
 	for range 6 {
@@ -173,22 +148,10 @@
 	own := leaving.ask("POST", "/b/y", nil)
 	require.Equal(t, "served", readAll(t, own), "the entrance of a leaving daemon routes to others")
 	alone := startNode(t, nodeConfig("edge-2", ""), nil)
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, leaving, alone)
+	connect(t, []declaration.Service{testService("b", routeY)}, leaving, alone)
 	requireRefusal(t, alone.ask("POST", "/b/y", nil), 503, chain.NotRun, chain.ReasonDraining)
 }
 
-// countingBody counts what is read of a request body.
-type countingBody struct {
-	io.Reader
-	read atomic.Int64
-}
-
-func (c *countingBody) Read(p []byte) (int, error) {
-	n, err := c.Reader.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // TestRefusedBeforeBody guards against an upload that crosses two daemons only
 // to be refused, and checks that the unread body can still go elsewhere.
 func TestRefusedBeforeBody(t *testing.T) {
@@ -196,12 +159,13 @@
 	cfg.DrainDelay = generous
 	leaving := startNode(t, cfg, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	services := []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}
+	services := []declaration.Service{testService("b", routeY)}
 	connect(t, services, leaving, edge)
 	leaving.d.startDrain()
-	body := &countingBody{Reader: strings.NewReader(strings.Repeat("x", 4<<20))}
+	content := strings.Repeat("x", 4<<20)
+	body := strings.NewReader(content)
 	requireRefusal(t, askExpect(t, edge, body), 503, chain.NotRun, chain.ReasonDraining)
-	require.Zero(t, body.read.Load())
+	require.Equal(t, len(content), body.Len(), "nothing was read")
 
 	staying := startNode(t, nodeConfig("b-2", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, _ := io.Copy(io.Discard, r.Body)
@@ -210,8 +174,7 @@
 	edge = startNode(t, nodeConfig("edge-2", ""), nil)
 	connect(t, services, leaving, staying, edge)
 	for range 4 {
-		body = &countingBody{Reader: strings.NewReader(strings.Repeat("x", 4<<20))}
-		require.Equal(t, "mmmm", readAll(t, askExpect(t, edge, body)))
+		require.Equal(t, "mmmm", readAll(t, askExpect(t, edge, strings.NewReader(content))))
 	}
 }
 
@@ -219,7 +182,6 @@
 	t.Helper()
 	r, err := http.NewRequest("POST", "http://"+n.d.Addresses().Entrance+"/b/y", body)
 	require.NoError(t, err)
-	r.ContentLength = 4 << 20
 	r.Header.Set("Expect", "100-continue")
 	resp, err := (&http.Transport{ExpectContinueTimeout: generous, DisableKeepAlives: true}).RoundTrip(r)
 	require.NoError(t, err)
@@ -233,7 +195,7 @@
 		close(entered)
 		<-r.Context().Done()
 	}))
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, n)
+	connect(t, []declaration.Service{testService("b", routeY)}, n)
 	leave := askAndLeave(t, n, "POST", "/b/y", "")
 	defer leave()
 	waitFor(t, entered)
@@ -246,12 +208,11 @@
 // others have not been told, work that must not be repeated gets whole answers
 // from the other upstream.
 func TestStopUnderLoad(t *testing.T) {
-	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
 	cfg := nodeConfig("b-1", "b")
 	cfg.DrainDelay = time.Second
-	leaving, staying := startNode(t, cfg, h), startNode(t, nodeConfig("b-2", "b"), h)
+	leaving, staying := startNode(t, cfg, respond("done")), startNode(t, nodeConfig("b-2", "b"), respond("done"))
 	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	svc := testService("b", testRoute("y", "POST", "/y", false))
+	svc := testService("b", routeY)
 	svc.Slots, svc.MaxConnections = 64, 64
 	connect(t, []declaration.Service{svc}, leaving, staying, edge)
 	for range 200 { // fills the retry budget
@@ -292,7 +253,7 @@
 // upstream by never reading its answer.
 func TestCallerThatDoesNotRead(t *testing.T) {
 	ended := make(chan error, 1)
-	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	edge, back := startPair(t, func(w http.ResponseWriter, _ *http.Request) {
 		part := make([]byte, 1<<20)
 		for range 1 << 10 { // more than all the socket buffers on the way hold
 			if _, err := w.Write(part); err != nil {
@@ -301,11 +262,7 @@
 			}
 		}
 		ended <- nil
-	}))
-	cfg := nodeConfig("edge-1", "")
-	cfg.BodyStall = 200 * time.Millisecond
-	edge := startNode(t, cfg, nil)
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
+	}, []declaration.Route{routeY}, func(c *Config) { c.BodyStall = 200 * time.Millisecond })
 	conn, err := net.Dial("tcp", edge.d.Addresses().Entrance)
 	require.NoError(t, err)
 	defer conn.Close()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -9,8 +9,32 @@
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 )
 
-// metrics are the counters of one daemon. All count events since the start
-// unless the name ends in a unit.
+// metrics are the counters of one daemon, published under "bilberrydeck" at
+// GET /debug/vars of the admin listener. Counters count since the start.
+//
+//	name                   unit      meaning
+//	entrance_requests      requests  received from callers
+//	exit_requests          requests  received from the local service
+//	exit_without_chain     requests  of these, without a chain handle
+//	peer_attempts          attempts  received from daemons
+//	attempts_sent          attempts  sent to daemons, retries included
+//	retries_sent           attempts  sent after a failed one of the same call
+//	calls_ok               calls     from entrance and exit that ended with outcome ok
+//	calls_failed           calls     that did not, by outcome/reason
+//	gate_refusals          attempts  refused by the peer listener, by reason
+//	answers_crossed        answers   that belonged to another request or attempt
+//	answers_truncated      answers   that ended early, as received from daemons
+//	answers_cut            answers   that the gate broke off after their first byte
+//	answers_replayed       answers   repeated from a finished claim
+//	claims                 claims    asked for
+//	claim_errors           calls     to the claim group that failed, repeats included
+//	chain_handles_refused  requests  with a forged or malformed chain handle
+//	classes_raised         requests  that asked for a class above the declared one
+//	calls_undeclared       calls     that the declaration of the calling route does not list
+//	decisions_dropped      lines     of the decision log that found its queue full
+//	configuration_version  version   in force, 0 before the first
+//	state                  name      starting, serving, draining or gone
+//	gate                   object    level (priority), limit, in_flight and queued (requests)
 type metrics struct {
 	all *expvar.Map
 
--- a/daemon/path_test.go
+++ b/daemon/path_test.go
@@ -15,33 +15,18 @@
 // TestWholePath guards the path caller, entrance, peer, gate, handler, exit,
 // next daemon, handler, and back.
 func TestWholePath(t *testing.T) {
-	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	route := testRoute("order", "POST", "/orders/{id}", false)
+	edge, front := startChain(t, route, func(w http.ResponseWriter, r *http.Request, below func() (int, string)) {
 		require.Empty(t, r.Header.Get(headerPeerContext))
-		_, _ = io.WriteString(w, "deep:"+r.URL.Path+"?"+r.URL.RawQuery)
-	}))
-	var front *node
-	front = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		resp, err := callBelow(r.Context(), front, r.Header.Get(headerChain), "GET", "/deep/item/7?x=1")
-		if err != nil {
-			w.WriteHeader(500)
-			return
-		}
-		below, _ := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
+		status, text := below()
+		require.Equal(t, 200, status)
 		w.Header().Set("X-Front", "yes")
 		w.WriteHeader(201)
-		_, _ = io.WriteString(w, string(body)+" "+string(below))
-	}))
-	caller := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{
-		testService("front", testRoute("order", "POST", "/orders", false)),
-		testService("deep", testRoute("item", "GET", "/item/{id}", true)),
-	}, deep, front, caller)
-	waitServing(t, deep, front, caller)
-
-	resp := caller.ask("POST", "/front/orders", strings.NewReader("two posters"), headerRequestID, "req-1")
-	require.Equal(t, "two posters deep:/item/7?x=1", readAll(t, resp))
+		_, _ = io.WriteString(w, r.RequestURI+" "+string(body)+" "+text)
+	}, respond("deep"))
+	resp := edge.ask("POST", "/front/orders/a%2Fb?x=1&y", strings.NewReader("two posters"), headerRequestID, "req-1")
+	require.Equal(t, "/orders/a%2Fb?x=1&y two posters deep", readAll(t, resp))
 	require.Equal(t, 201, resp.StatusCode)
 	require.Equal(t, "yes", resp.Header.Get("X-Front"))
 	require.Equal(t, "ok", resp.Header.Get(headerOutcome))
@@ -95,7 +80,7 @@
 	n = startNode(t, nodeConfig("a-1", "a"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		handle <- r.Header.Get(headerChain)
 	}))
-	connect(t, []declaration.Service{testService("a", testRoute("x", "GET", "/x", true))}, n)
+	connect(t, []declaration.Service{testService("a", routeX)}, n)
 	require.Equal(t, 200, n.ask("GET", "/a/x", nil).StatusCode)
 	for _, tc := range []struct {
 		handle string
--- a/daemon/policy_test.go
+++ b/daemon/policy_test.go
@@ -32,24 +32,14 @@
 		ms, _ := strconv.Atoi(r.Header.Get(headerDeadline))
 		seen <- ms
 	}
-	deep := startNode(t, nodeConfig("deep-1", "deep"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	edge, _ := startChain(t, routeX, func(w http.ResponseWriter, r *http.Request, below func() (int, string)) {
 		report(r)
-		<-r.Context().Done()
-	}))
-	var front *node
-	front = startNode(t, nodeConfig("front-1", "front"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		report(r)
-		resp, err := callBelow(r.Context(), front, r.Header.Get(headerChain), "GET", "/deep/x")
-		if err == nil {
-			_ = resp.Body.Close()
-		}
+		below()
 		w.WriteHeader(500)
-	}))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
-	connect(t, []declaration.Service{
-		testService("front", testRoute("x", "GET", "/x", true)),
-		testService("deep", testRoute("x", "GET", "/x", true)),
-	}, deep, front, edge)
+	}, func(_ http.ResponseWriter, r *http.Request) {
+		report(r)
+		<-r.Context().Done()
+	})
 	resp := edge.ask("GET", "/front/x", nil, headerDeadline, "600")
 	first, second := waitFor(t, seen), waitFor(t, seen)
 	require.LessOrEqual(t, first, 600)
@@ -63,11 +53,10 @@
 // only to be refused there, and checks the order of classes.
 func TestEarlyRefusal(t *testing.T) {
 	var runs atomic.Int32
-	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
-	edge := startNode(t, nodeConfig("edge-1", ""), nil)
 	order := testRoute("order", "POST", "/orders", false)
 	order.Class = chain.Critical
-	connect(t, []declaration.Service{testService("b", order, testRoute("look", "GET", "/orders", true))}, back, edge)
+	edge, _ := startPair(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) },
+		[]declaration.Route{order, testRoute("look", "GET", "/orders", true)})
 	level := chain.Priority(chain.Critical) << 7
 	for _, id := range []string{"b.order", "b.look"} {
 		// A report from the future does not age while the test runs.
@@ -114,7 +103,7 @@
 		w.Header().Set(headerOutcome, "not-run")
 		w.WriteHeader(503)
 	}))
-	services := []declaration.Service{testService("b", testRoute("y", "POST", "/y", false)), testService("c", testRoute("y", "POST", "/y", false))}
+	services := []declaration.Service{testService("b", routeY), testService("c", routeY)}
 	var relay *node
 	relay = startNode(t, nodeConfig("c-1", "c"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
@@ -173,7 +162,7 @@
 	cfg = nodeConfig("edge-1", "")
 	cfg.ServerTLS, cfg.ClientTLS = server, client
 	edge := startNode(t, cfg, nil)
-	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
+	connect(t, []declaration.Service{testService("b", routeY)}, back, edge)
 	for _, size := range []int{0, 10, 200_000} {
 		content := strings.Repeat("x", size)
 		require.True(t, content == readAll(t, edge.ask("POST", "/b/y", strings.NewReader(content))))
