daemon, logging: a killed daemon ends in the state gone; pooled log lines

Cause: after Kill, Run could take the end of a listener for its result and return without the final state; each log line allocated its buffer. Change: the end of a listener counts only if it is an error; buffers are pooled.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -214,9 +214,11 @@
 		go d.watchHealth(d.killed)
 	}
 	select {
-	case err := <-failed:
-		d.Kill()
-		return errors.Wrap(err, "listener failed")
+	case err := <-failed: // nil after Kill
+		if err != nil {
+			d.Kill()
+			return errors.Wrap(err, "listener failed")
+		}
 	case <-ctx.Done():
 	case <-d.drain:
 	case <-d.killed.Done():
--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -202,6 +202,7 @@
 	n.stop()
 	n.d.Kill()
 	require.NoError(t, n.waitEnded())
+	require.Equal(t, api.UpstreamState_UPSTREAM_STATE_GONE, n.d.State())
 }
 
 // TestStopUnderLoad guards P6 and P7: while one upstream's daemon stops and the
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/phuslu/log"
 )
@@ -23,11 +24,14 @@
 	}
 }
 
+var lines = sync.Pool{New: func() any { b := make([]byte, 0, 512); return &b }}
+
 // writeKeyValues formats one event. The library's own logfmt formatter leaves
 // the message without a key.
 func writeKeyValues(w io.Writer, args *log.FormatterArgs) (int, error) {
-	buf := make([]byte, 0, 256)
-	buf = appendPair(buf, "time", args.Time)
+	pooled := lines.Get().(*[]byte)
+	defer lines.Put(pooled)
+	buf := appendPair((*pooled)[:0], "time", args.Time)
 	buf = appendPair(buf, "level", args.Level)
 	if args.Message != "" {
 		buf = appendPair(buf, "msg", args.Message)
@@ -36,6 +40,7 @@
 		buf = appendPair(buf, kv.Key, kv.Value)
 	}
 	buf[len(buf)-1] = '\n'
+	*pooled = buf
 	return w.Write(buf)
 }
 
