daemon: the path counts towards the header limit

Cause: a path of more than 100 KiB would have been refused by the peer's HTTP server without the echo of the request id, and counted as a crossed answer.

--- a/daemon/entrance.go
+++ b/daemon/entrance.go
@@ -76,8 +76,9 @@
 	if failure != nil {
 		return refusal{failure: failure}, false
 	}
-	if headerSize(r.Header) > maxHeaderBytes {
-		return refusal{failure: badRequest("the headers exceed 32 KiB")}, false
+	// The path counts because it crosses to the other daemon in a header.
+	if len(r.RequestURI)+headerSize(r.Header) > maxHeaderBytes {
+		return refusal{failure: badRequest("path and headers exceed 32 KiB")}, false
 	}
 	c.version = inForce.source.Version
 	if failure := c.findRoute(inForce, r); failure != nil {
