--- a/control/config.go
+++ b/control/config.go
@@ -31,7 +31,7 @@
 	ReplicaID     uint64
 	ListenAddress string // IP address and port
 	// AdvertiseAddress is where other processes reach this one; empty means
-	// the listen address.
+	// its address in Peers, or else the listen address.
 	AdvertiseAddress string
 	// Dial maps advertised addresses of other replicas to the addresses to
 	// dial instead, where a forwarder or address translation lies between.
--- a/control/group.go
+++ b/control/group.go
@@ -39,6 +39,8 @@
 
 	waiting  map[uint64]waiter // by log index
 	snapshot uint64            // index of the newest snapshot
+	// snapshotBytes is the size of the machine in the newest snapshot.
+	snapshotBytes int
 
 	// A snapshot is encoded, written and cleaned up after beside the loop.
 	steps    chan func() error // executed by the loop
@@ -54,7 +56,6 @@
 type view struct {
 	status      raft.Status
 	confirmedAt time.Time // zero if there was no confirmation
-	at          time.Time
 }
 
 type proposal struct {
@@ -103,7 +104,7 @@
 // start builds the core and the machine from what was stored.
 func (g *group) start(stored *storage.State) error {
 	if stored.Snapshot != nil {
-		g.snapshot = stored.Snapshot.Meta.Index
+		g.snapshot, g.snapshotBytes = stored.Snapshot.Meta.Index, len(stored.Snapshot.Data)
 		if err := g.machine.Restore(stored.Snapshot.Data); err != nil {
 			return &MachineError{g.id, "restore", err}
 		}
@@ -276,7 +277,7 @@
 
 // publish makes the current view visible to other goroutines.
 func (g *group) publish() {
-	v := &view{status: g.raft.Status(), at: g.server.cfg.Clock()}
+	v := &view{status: g.raft.Status()}
 	v.confirmedAt, _ = g.raft.ConfirmedAt()
 	if g.encoding {
 		v.confirmedAt = g.view.Load().confirmedAt // entries wait to be applied
--- a/control/server.go
+++ b/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -99,10 +100,7 @@
 	if d.Identity.ClaimShards != s.cfg.ClaimShards {
 		return &ConfigError{"claim_shards differs from the number that the data directory was made with"}
 	}
-	address := s.cfg.AdvertiseAddress
-	if address == "" {
-		address = s.Addr()
-	}
+	address := cmp.Or(s.cfg.AdvertiseAddress, s.cfg.Peers[s.cfg.ReplicaID], s.Addr())
 	s.self = &api.ReplicaRef{Id: s.cfg.ReplicaID, DiskId: d.Identity.DiskID, Address: address}
 	if err := s.openGroups(); err != nil {
 		return err
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -9,11 +9,17 @@
 // heartbeats: in the loop they would cost it its term. While the machine is
 // encoded, committed entries wait to be applied.
 
+// snapshotBytesPerEntry delays snapshots of a large machine, so that they add
+// at most about this much to what an entry writes to the disk. An entry of a
+// claim takes about 300 bytes, so the log stays smaller than the snapshot.
+const snapshotBytesPerEntry = 1024
+
 // maybeSnapshot starts a snapshot if enough entries were applied since the last
 // one.
 func (g *group) maybeSnapshot() {
 	applied := g.raft.Status().Applied
-	if g.saving || applied-g.snapshot < g.server.cfg.SnapshotThreshold {
+	due := max(g.server.cfg.SnapshotThreshold, uint64(g.snapshotBytes)/snapshotBytesPerEntry)
+	if g.saving || applied-g.snapshot < due {
 		return
 	}
 	s, err := g.raft.SnapshotAt(applied, nil)
@@ -46,7 +52,7 @@
 			return err
 		}
 		g.raft.Compacted(s)
-		g.snapshot = s.Meta.Index
+		g.snapshot, g.snapshotBytes = s.Meta.Index, len(s.Data)
 		g.removeFiles(g.log.Retire(s.Meta.Index))
 		g.server.cfg.Logger.Info().Uint32("group", g.id).Uint64("index", s.Meta.Index).Int("bytes", len(s.Data)).Msg("snapshot saved")
 		return nil
@@ -89,7 +95,7 @@
 	if err := g.machine.Restore(s.Data); err != nil {
 		return &MachineError{g.id, "restore", err}
 	}
-	g.snapshot = s.Meta.Index
+	g.snapshot, g.snapshotBytes = s.Meta.Index, len(s.Data)
 	g.removeFiles(names)
 	g.server.cfg.Logger.Info().Uint32("group", g.id).Uint64("index", s.Meta.Index).Int("bytes", len(s.Data)).Msg("snapshot installed")
 	return nil
