control: no stream starts while the transport closes

Cause: a group that still sends while the process stops could start a stream after the wait for all streams had begun. Change: the end is marked under the lock that guards the start of streams. Measured: tests pass under the race detector. Conclusion: a stop waits for every stream.

--- a/control/transport.go
+++ b/control/transport.go
@@ -140,7 +140,9 @@
 }
 
 func (t *transport) close() {
+	t.mu.Lock() // no loop may start while the others are awaited
 	t.end()
+	t.mu.Unlock()
 	t.loops.Wait()
 }
 
