storage: the last segment is rewritten in place at the start

Cause: a rename over a file takes 65 to 250 ms on a disk that discards freed space at once, and every start did one for each group. Change: the same bytes are written over the segment and synced. Test replicas listen below the range of outgoing ports, so that no connection occupies the address of a replica that restarts.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"testing"
@@ -47,11 +48,17 @@
 	return c
 }
 
+// freeAddress returns an address below the range of outgoing connections, one
+// of which could otherwise occupy it while a replica restarts.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, l.Close()) }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 28_000+rand.IntN(4_000)))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return l.Addr().String()
+	}
 }
 
 func (c *cluster) config(id uint64, address string) Config {
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -4,6 +4,7 @@
 package storage
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -25,6 +26,9 @@
 	// ReadDir returns the names in a directory, in lexical order.
 	ReadDir(name string) ([]string, error)
 	MkdirAll(name string) error
+	// Overwrite stores content at the start of an existing file, cuts the
+	// file off after it and syncs it.
+	Overwrite(name string, content []byte) error
 	Rename(from, to string) error
 	Remove(name string) error
 	// SyncDir makes created, renamed and removed names of a directory durable.
@@ -61,17 +65,29 @@
 // Remove implements FS.
 func (OS) Remove(name string) error { return os.Remove(name) }
 
+// Overwrite implements FS.
+func (OS) Overwrite(name string, content []byte) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteAt(content, 0)
+	if err == nil {
+		err = f.Truncate(int64(len(content)))
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
 // SyncDir implements FS.
 func (OS) SyncDir(name string) error {
 	d, err := os.Open(name)
 	if err != nil {
 		return err
 	}
-	err = d.Sync()
-	if closeErr := d.Close(); err == nil {
-		err = closeErr
-	}
-	return err
+	return errors.Join(d.Sync(), d.Close())
 }
 
 // replaceFile writes a file so that after a crash either the old or the new
--- a/storage/log.go
+++ b/storage/log.go
@@ -177,9 +177,14 @@
 
 // rewriteSegment stores the last segment anew, without a frame that a crash
 // cut off. What a previous process wrote may be in the page cache only, and
-// after a failed sync another sync of the same file proves nothing.
+// after a failed sync another sync of the same file proves nothing; writing
+// the same bytes again does. A rename over the file would take 65 to 250 ms on
+// a disk that discards freed space at once.
 func (l *Log) rewriteSegment(path string, data []byte) error {
-	return replaceFile(l.fs, path, data)
+	if err := l.fs.Overwrite(path, data); err != nil {
+		return &SyncError{Op: "overwrite", Path: path, Err: err}
+	}
+	return nil
 }
 
 // endSegment takes an unreadable frame at the end of the last segment as the
--- a/storage/memory_test.go
+++ b/storage/memory_test.go
@@ -69,6 +69,15 @@
 	return nil
 }
 
+func (m *memoryFS) Overwrite(name string, content []byte) error {
+	if err := m.failure("sync"); err != nil {
+		return err
+	}
+	m.files[name].data = slices.Clone(content)
+	m.files[name].synced = len(content)
+	return nil
+}
+
 func (m *memoryFS) Remove(name string) error {
 	if m.files[name] == nil {
 		return os.ErrNotExist
