--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -44,7 +44,7 @@
 		all[fmt.Sprintf("service-%03d", i)] = strings.Repeat("x", 1000)
 	}
 	source.accept(b, all)
-	control := startControl(b, "control-1", source)
+	control, _ := startControl(b, "control-1", source)
 	own := newAZ(b, "az-0", 3, control)
 	own.traffic = &traffic{}
 	own.remote = map[string][]Endpoint{}
@@ -82,6 +82,13 @@
 	m.report(b, "restart", n)
 	b.ReportMetric(float64(m.elapsed.Milliseconds()), "restart-ms")
 	b.ReportMetric(float64(heap())/1e6, "heap-MB")
+
+	m = measure(own)
+	own.relays[0].stop()
+	own.startRelay(b, 0)
+	go injectMembers(own.running[0], 0, n, stop)
+	time.Sleep(restTime)
+	m.report(b, "relay-restart", n)
 	b.ReportMetric(0, "ns/op")
 }
 
--- a/relay/control.go
+++ b/relay/control.go
@@ -9,22 +9,23 @@
 	"github.com/bilberrydeck/bilberrydeck/api"
 )
 
+// forgetReportAfter is the age above which the report of a daemon is dropped.
+const forgetReportAfter = time.Minute
+
 // ControlConfig configures the feed server of a control replica.
 type ControlConfig struct {
 	Name      string // id of the replica in the feed
 	Source    Source
 	Log       *log.Logger // nil for none
 	Authorize Authorize   // nil without TLS
-	// OnReports receives what relays report of their daemons. It must not
-	// wait. Nil drops the reports.
-	OnReports func([]*api.DaemonStatus)
 }
 
 // ControlServer serves the configuration of a control replica to relays and
-// passes on what they report of their daemons. It implements api.FeedServer.
+// collects what they report of their daemons. It implements api.FeedServer.
 type ControlServer struct {
 	*hub
 	cfg     ControlConfig
+	reports *reports
 	cache   documentCache
 	waveAt  time.Time
 	version uint64
@@ -33,7 +34,7 @@
 // NewControlServer returns a server that works while Run does.
 func NewControlServer(cfg ControlConfig) *ControlServer {
 	lp := newLoop()
-	c := &ControlServer{cfg: cfg}
+	c := &ControlServer{cfg: cfg, reports: newReports()}
 	c.hub = newHub(lp, logger(cfg.Log), cfg.Authorize, c)
 	lp.tick, lp.flush = c.tick, c.hub.flush
 	return c
@@ -70,42 +71,50 @@
 		c.waveAt = now
 		c.markAll()
 	}
+	c.reports.expire(now)
 }
 
-func (c *ControlServer) requested(_ time.Time, _ *subscriber, r *api.SyncRequest) {
-	if list := r.GetReports(); len(list) > 0 && c.cfg.OnReports != nil {
-		c.cfg.OnReports(list)
+func (c *ControlServer) requested(now time.Time, s *subscriber, r *api.SyncRequest) {
+	for _, d := range r.GetReports() {
+		c.reports.record(now, d)
 	}
 }
 
 func (c *ControlServer) left(time.Time, *subscriber) {}
 
 func (c *ControlServer) update(_ time.Time, s *subscriber) *api.SyncUpdate {
-	// The age is read first: versions grow, so the version read after it
-	// covers the confirmation.
-	age, confirmed := c.cfg.Source.ConfirmationAge()
-	version := c.cfg.Source.Version()
 	u := &api.SyncUpdate{
 		Source:              c.cfg.Name,
 		Echo:                s.echo,
-		SourceVersion:       version,
+		SourceVersion:       c.cfg.Source.Version(),
 		ConfirmationAgeMs:   -1,
 		ConfirmationBoundMs: -1,
 	}
-	if confirmed {
+	if version, age, ok := c.cfg.Source.Confirmation(); ok {
 		u.ConfirmedVersion = version
 		u.ConfirmationAgeMs = millisUp(age)
 		u.ConfirmationBoundMs = millisUp(age)
 	}
-	if s.wantConfig && s.held < version {
-		u.Config = c.cache.get(version, s.held, func() *api.ConfigDelta { return c.delta(s.held) })
-		u.SourceVersion = max(version, u.Config.GetToVersion())
+	if s.wantConfig && s.held < u.SourceVersion {
+		u.Config = c.cache.get(u.SourceVersion, s.held, func() *api.ConfigDelta { return c.cfg.Source.Since(s.held) })
 		s.held = u.Config.GetToVersion()
+		u.SourceVersion = max(u.SourceVersion, s.held)
 	}
 	return u
 }
 
-func (c *ControlServer) delta(since uint64) *api.ConfigDelta {
-	newest, changed, removed := c.cfg.Source.Since(since)
-	return &api.ConfigDelta{FromVersion: since, ToVersion: newest, Services: changed, RemovedServices: removed}
+// Daemons returns the last report of each daemon that a relay has reported,
+// sorted by id.
+func (c *ControlServer) Daemons(ctx context.Context) []*api.DaemonStatus {
+	result := make(chan []*api.DaemonStatus, 1)
+	if !c.loop.post(eventFunc(func(now time.Time) { result <- c.reports.all(now) })) {
+		return nil
+	}
+	select {
+	case list := <-result:
+		return list
+	case <-c.loop.done:
+	case <-ctx.Done():
+	}
+	return nil
 }
--- a/relay/failure_test.go
+++ b/relay/failure_test.go
@@ -50,7 +50,7 @@
 // the relays come back without memory.
 func TestAllRelaysRestart(t *testing.T) {
 	source := newFakeSource()
-	control := startControl(t, "control-1", source)
+	control, _ := startControl(t, "control-1", source)
 	south, north := newAZ(t, "south-a", 3, control), newAZ(t, "north-a", 3, control)
 	south.remote = map[string][]Endpoint{north.name: north.endpoints}
 	north.remote = map[string][]Endpoint{south.name: south.endpoints}
@@ -110,7 +110,8 @@
 // through it, and confirmations stay fresh on the longer way.
 func TestRelayBehindRelay(t *testing.T) {
 	source := newFakeSource()
-	near := newAZ(t, "south-a", 1, startControl(t, "control-1", source))
+	control, server := startControl(t, "control-1", source)
+	near := newAZ(t, "south-a", 1, control)
 	near.startRelays(t)
 	far := newAZ(t, "south-b", 3, near.endpoints[0])
 	far.startRelays(t)
@@ -118,9 +119,8 @@
 	version := source.accept(t, map[string]string{"bookings": "{1}"})
 	daemon.waitVersion(t, version)
 	require.Eventually(t, func() bool {
-		source.mu.Lock()
-		defer source.mu.Unlock()
-		return source.reports["d1"].GetVersion() == version
+		reported := server.Daemons(t.Context())
+		return len(reported) == 1 && reported[0].GetVersion() == version
 	}, waitTime, tickEvery)
 	daemon.waitFor(t, "fresh", func(v *View) bool {
 		age, ok := v.Age(time.Now())
@@ -132,7 +132,7 @@
 // connection which is open and carries nothing.
 func TestSilentPartition(t *testing.T) {
 	source := newFakeSource()
-	control := startControl(t, "control-1", source)
+	control, _ := startControl(t, "control-1", source)
 	south := newAZ(t, "south-a", 1, control)
 	south.startRelays(t)
 	p := newProxy(t, south.endpoints[0].Address)
@@ -205,8 +205,8 @@
 func TestSourceFailover(t *testing.T) {
 	stale, source := newFakeSource(), newFakeSource()
 	stale.confirmed = false // isolated: it never hears a quorum
-	isolated := startControl(t, "control-1", stale)
-	healthy := startControl(t, "control-2", source)
+	isolated, _ := startControl(t, "control-1", stale)
+	healthy, _ := startControl(t, "control-2", source)
 	south := newAZ(t, "south-a", 3, isolated, healthy)
 	south.startRelays(t)
 	daemon, other := south.startDaemon(t, "d1", "bookings"), south.startDaemon(t, "d2", "bookings")
--- a/relay/feed_test.go
+++ b/relay/feed_test.go
@@ -15,7 +15,7 @@
 // control must come into force at each daemon, with members of each other.
 func TestVersionAndMembersReachDaemons(t *testing.T) {
 	source := newFakeSource()
-	control := startControl(t, "control-1", source)
+	control, server := startControl(t, "control-1", source)
 	south := newAZ(t, "south-a", 3, control)
 	south.startRelays(t)
 	first := south.startDaemon(t, "d1", "bookings")
@@ -42,10 +42,8 @@
 	first.waitFor(t, "gone", func(v *View) bool { return len(v.Members["bookings"]) == 1 })
 
 	require.Eventually(t, func() bool {
-		source.mu.Lock()
-		defer source.mu.Unlock()
-		d1 := source.reports["d1"]
-		return len(source.reports) == 2 && d1.GetVersion() == version && d1.GetConfirmationAgeMs() >= 0
+		reported := server.Daemons(context.Background())
+		return len(reported) == 2 && reported[0].GetVersion() == version && reported[0].GetConfirmationAgeMs() >= 0
 	}, waitTime, tickEvery)
 }
 
--- a/relay/helpers_test.go
+++ b/relay/helpers_test.go
@@ -27,19 +27,10 @@
 	store     feed.Store
 	changed   chan struct{}
 	confirmed bool
-	reports   map[string]*api.DaemonStatus
-}
-
-func (f *fakeSource) keepReports(list []*api.DaemonStatus) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, d := range list {
-		f.reports[d.GetId()] = d
-	}
 }
 
 func newFakeSource() *fakeSource {
-	return &fakeSource{changed: make(chan struct{}), confirmed: true, reports: map[string]*api.DaemonStatus{}}
+	return &fakeSource{changed: make(chan struct{}), confirmed: true}
 }
 
 func (f *fakeSource) Version() uint64 {
@@ -48,11 +39,10 @@
 	return f.store.Version()
 }
 
-func (f *fakeSource) Since(version uint64) (uint64, []*api.ServiceDocument, []string) {
+func (f *fakeSource) Since(version uint64) *api.ConfigDelta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := configDeltaOf(f.store.Since(version, nil))
-	return d.GetToVersion(), d.GetServices(), d.GetRemovedServices()
+	return configDeltaOf(f.store.Since(version, nil))
 }
 
 func (f *fakeSource) Changed() <-chan struct{} {
@@ -61,10 +51,10 @@
 	return f.changed
 }
 
-func (f *fakeSource) ConfirmationAge() (time.Duration, bool) {
+func (f *fakeSource) Confirmation() (uint64, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return 10 * time.Millisecond, f.confirmed
+	return f.store.Version(), 10 * time.Millisecond, f.confirmed
 }
 
 // accept applies a change of documents and returns its version.
@@ -281,8 +271,8 @@
 	return found
 }
 
-func startControl(tb testing.TB, name string, source *fakeSource) Endpoint {
-	c := NewControlServer(ControlConfig{Name: name, Source: source, OnReports: source.keepReports})
+func startControl(tb testing.TB, name string, source Source) (Endpoint, *ControlServer) {
+	c := NewControlServer(ControlConfig{Name: name, Source: source})
 	address, _ := serve(tb, "", c, c.Run)
-	return Endpoint{Name: name, Address: address}
+	return Endpoint{Name: name, Address: address}, c
 }
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -1,14 +1,13 @@
 package relay
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 )
 
-// forgetReportAfter is the age above which the report of a daemon is dropped.
-const forgetReportAfter = time.Minute
-
 // refreshRounds spreads the unchanged reports of a relay over this many
 // requests to control, so that traffic at rest does not depend on a burst.
 const refreshRounds = 10
@@ -84,3 +83,13 @@
 	}
 	return list
 }
+
+// all returns all reports, sorted by id.
+func (r *reports) all(now time.Time) []*api.DaemonStatus {
+	list := make([]*api.DaemonStatus, 0, len(r.entries))
+	for _, e := range r.entries {
+		list = append(list, e.aged(now))
+	}
+	slices.SortFunc(list, func(a, b *api.DaemonStatus) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return list
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -10,21 +10,22 @@
 	"github.com/bilberrydeck/bilberrydeck/api"
 )
 
-// Source is the configuration that a control replica serves. All methods must
-// return without waiting for the network.
+// Source is the configuration that a control replica serves. All methods are
+// called from one goroutine and must return without waiting.
 type Source interface {
 	// Version is the newest version applied by this replica.
 	Version() uint64
-	// Since returns the newest version, and the documents that were changed
-	// and the services that were removed after the given one. From version 0
-	// it is a full copy.
-	Since(version uint64) (newest uint64, changed []*api.ServiceDocument, removed []string)
-	// Changed returns a channel that is closed at the next change of Version.
+	// Since returns what changed after version: the newest documents and the
+	// removed services. From is 0 in a full copy, which is the answer to
+	// version 0 and to versions that are too old.
+	Since(version uint64) *api.ConfigDelta
+	// Changed returns a channel that is closed when a higher version than
+	// the present one is applied.
 	Changed() <-chan struct{}
-	// ConfirmationAge tells how long ago a leader confirmed with a quorum
-	// that Version includes every change accepted until then; false if it
-	// never did. It must be an upper bound, which counts from the send of the
-	// messages by which the quorum, or the leader for another replica, was
-	// asked.
-	ConfirmationAge() (time.Duration, bool)
+	// Confirmation tells that a leader confirmed its leadership with a quorum
+	// age ago, and that no change accepted before that moment has a version
+	// above the returned one. The age must be an upper bound: it counts from
+	// the send of the messages by which the quorum, or the leader for another
+	// replica, was asked. ok is false if there is no confirmation.
+	Confirmation() (version uint64, age time.Duration, ok bool)
 }
--- a/secure/feed_test.go
+++ b/secure/feed_test.go
@@ -16,10 +16,10 @@
 
 type emptySource struct{}
 
-func (emptySource) Version() uint64                                         { return 0 }
-func (emptySource) Since(uint64) (uint64, []*api.ServiceDocument, []string) { return 0, nil, nil }
-func (emptySource) Changed() <-chan struct{}                                { return nil }
-func (emptySource) ConfirmationAge() (age time.Duration, ok bool)           { return 0, false }
+func (emptySource) Version() uint64                             { return 0 }
+func (emptySource) Since(uint64) *api.ConfigDelta               { return &api.ConfigDelta{} }
+func (emptySource) Changed() <-chan struct{}                    { return nil }
+func (emptySource) Confirmation() (uint64, time.Duration, bool) { return 0, 0, false }
 
 // TestFeedIdentity guards against a daemon that subscribes or announces itself
 // under the id of another one, and against operators on the feed.
