--- a/relay/daemon.go
+++ b/relay/daemon.go
@@ -38,7 +38,8 @@
 	UpSince time.Time // when the upstream started to serve, zero if not yet
 }
 
-// View is the state of the feed at a daemon. It is never changed.
+// View is the state of the feed at a daemon. It is never changed. Documents and
+// Members are the same maps as in the view before if they have not changed.
 type View struct {
 	// Confirmed is false until a version may be in force. Until then the
 	// daemon refuses traffic as configuration-unconfirmed.
