--- a/relay/failure_test.go
+++ b/relay/failure_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -50,7 +48,7 @@
 // the relays come back without memory.
 func TestAllRelaysRestart(t *testing.T) {
 	source := newFakeSource()
-	control := startControl(t, "control-1", source)
+	control, _ := startControl(t, "control-1", source)
 	south, north := newAZ(t, "south-a", 3, control), newAZ(t, "north-a", 3, control)
 	south.remote = map[string][]Endpoint{north.name: north.endpoints}
 	north.remote = map[string][]Endpoint{south.name: south.endpoints}
@@ -110,7 +108,8 @@
 // through it, and confirmations stay fresh on the longer way.
 func TestRelayBehindRelay(t *testing.T) {
 	source := newFakeSource()
-	near := newAZ(t, "south-a", 1, startControl(t, "control-1", source))
+	control, server := startControl(t, "control-1", source)
+	near := newAZ(t, "south-a", 1, control)
 	near.startRelays(t)
 	far := newAZ(t, "south-b", 3, near.endpoints[0])
 	far.startRelays(t)
@@ -118,9 +117,8 @@
 	version := source.accept(t, map[string]string{"bookings": "{1}"})
 	daemon.waitVersion(t, version)
 	require.Eventually(t, func() bool {
-		source.mu.Lock()
-		defer source.mu.Unlock()
-		return source.reports["d1"].GetVersion() == version
+		reported := server.Daemons(t.Context())
+		return len(reported) == 1 && reported[0].GetVersion() == version
 	}, waitTime, tickEvery)
 	daemon.waitFor(t, "fresh", func(v *View) bool {
 		age, ok := v.Age(time.Now())
@@ -132,81 +130,24 @@
 // connection which is open and carries nothing.
 func TestSilentPartition(t *testing.T) {
 	source := newFakeSource()
-	control := startControl(t, "control-1", source)
+	control, _ := startControl(t, "control-1", source)
 	south := newAZ(t, "south-a", 1, control)
+	south.traffic = &traffic{}
 	south.startRelays(t)
-	p := newProxy(t, south.endpoints[0].Address)
-	south.endpoints[0].Address = p.address
 	daemon := south.startDaemon(t, "d1", "bookings")
 	daemon.waitVersion(t, source.accept(t, map[string]string{"bookings": "{1}"}))
-	p.silence()
+	south.traffic.silenced.Add(1)
 	daemon.waitVersion(t, source.accept(t, map[string]string{"bookings": "{2}"}))
 	daemon.waitFor(t, "its own lease", func(v *View) bool { return len(v.Members["bookings"]) == 1 })
 }
 
-// proxy forwards TCP connections and can stop forwarding those that are open.
-type proxy struct {
-	address string
-	mu      sync.Mutex
-	silent  chan struct{} // closed for the connections that were open
-}
-
-func newProxy(t *testing.T, target string) *proxy {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	p := &proxy{address: listener.Addr().String(), silent: make(chan struct{})}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", target)
-			if err != nil {
-				client.Close()
-				continue
-			}
-			t.Cleanup(func() { client.Close(); server.Close() })
-			p.mu.Lock()
-			silent := p.silent
-			p.mu.Unlock()
-			go forward(client, server, silent)
-			go forward(server, client, silent)
-		}
-	}()
-	return p
-}
-
-func forward(from, to net.Conn, silent chan struct{}) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		select {
-		case <-silent:
-		default:
-			_, _ = to.Write(buf[:n])
-		}
-	}
-}
-
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	close(p.silent)
-	p.silent = make(chan struct{})
-}
-
 // TestSourceFailover guards against daemons or relays that stay with a control
 // replica or a relay that no longer works, and against lost changes of state.
 func TestSourceFailover(t *testing.T) {
 	stale, source := newFakeSource(), newFakeSource()
 	stale.confirmed = false // isolated: it never hears a quorum
-	isolated := startControl(t, "control-1", stale)
-	healthy := startControl(t, "control-2", source)
+	isolated, _ := startControl(t, "control-1", stale)
+	healthy, _ := startControl(t, "control-2", source)
 	south := newAZ(t, "south-a", 3, isolated, healthy)
 	south.startRelays(t)
 	daemon, other := south.startDaemon(t, "d1", "bookings"), south.startDaemon(t, "d2", "bookings")
--- a/relay/helpers_test.go
+++ b/relay/helpers_test.go
@@ -27,19 +27,10 @@
 	store     feed.Store
 	changed   chan struct{}
 	confirmed bool
-	reports   map[string]*api.DaemonStatus
-}
-
-func (f *fakeSource) keepReports(list []*api.DaemonStatus) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, d := range list {
-		f.reports[d.GetId()] = d
-	}
 }
 
 func newFakeSource() *fakeSource {
-	return &fakeSource{changed: make(chan struct{}), confirmed: true, reports: map[string]*api.DaemonStatus{}}
+	return &fakeSource{changed: make(chan struct{}), confirmed: true}
 }
 
 func (f *fakeSource) Version() uint64 {
@@ -48,11 +39,10 @@
 	return f.store.Version()
 }
 
-func (f *fakeSource) Since(version uint64) (uint64, []*api.ServiceDocument, []string) {
+func (f *fakeSource) Since(version uint64) *api.ConfigDelta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := configDeltaOf(f.store.Since(version, nil))
-	return d.GetToVersion(), d.GetServices(), d.GetRemovedServices()
+	return configDeltaOf(f.store.Since(version, nil))
 }
 
 func (f *fakeSource) Changed() <-chan struct{} {
@@ -61,10 +51,10 @@
 	return f.changed
 }
 
-func (f *fakeSource) ConfirmationAge() (time.Duration, bool) {
+func (f *fakeSource) Confirmation() (uint64, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return 10 * time.Millisecond, f.confirmed
+	return f.store.Version(), 10 * time.Millisecond, f.confirmed
 }
 
 // accept applies a change of documents and returns its version.
@@ -93,9 +83,11 @@
 	return serveCounted(tb, address, server, run, nil)
 }
 
-// traffic counts what a feed server sends and receives.
+// traffic counts what a feed server sends and receives. Adding to silenced
+// makes all bytes vanish on the connections that are open, as in a silent
+// partition.
 type traffic struct {
-	bytes, messages atomic.Int64
+	bytes, messages, silenced atomic.Int64
 }
 
 type countedListener struct {
@@ -106,6 +98,7 @@
 type countedConn struct {
 	net.Conn
 	traffic *traffic
+	opened  int64 // value of silenced when the connection was opened
 }
 
 func (l countedListener) Accept() (net.Conn, error) {
@@ -113,21 +106,35 @@
 	if err != nil || l.traffic == nil {
 		return c, err
 	}
-	return countedConn{c, l.traffic}, nil
+	return countedConn{c, l.traffic, l.traffic.silenced.Load()}, nil
 }
 
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for err == nil && c.traffic.silenced.Load() != c.opened {
+		n, err = c.Conn.Read(p)
+	}
 	c.traffic.bytes.Add(int64(n))
 	return n, err
 }
 
 func (c countedConn) Write(p []byte) (int, error) {
+	if c.traffic.silenced.Load() != c.opened {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
 	c.traffic.bytes.Add(int64(n))
 	return n, err
 }
 
+// Close does nothing on a silenced connection: the peer doesn't learn of it.
+func (c countedConn) Close() error {
+	if c.traffic.silenced.Load() != c.opened {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
 func (t *traffic) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context   { return ctx }
 func (t *traffic) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
 func (t *traffic) HandleConn(context.Context, stats.ConnStats)                       {}
@@ -281,8 +288,8 @@
 	return found
 }
 
-func startControl(tb testing.TB, name string, source *fakeSource) Endpoint {
-	c := NewControlServer(ControlConfig{Name: name, Source: source, OnReports: source.keepReports})
+func startControl(tb testing.TB, name string, source Source) (Endpoint, *ControlServer) {
+	c := NewControlServer(ControlConfig{Name: name, Source: source})
 	address, _ := serve(tb, "", c, c.Run)
-	return Endpoint{Name: name, Address: address}
+	return Endpoint{Name: name, Address: address}, c
 }
