core/admit: queue target of half a service time

Cause: with ten slots and a service time of 100 ms, a request waits 10 ms and more for the next free slot without any overload; the target of 20 ms made the level rise into the class of bookings while default work was served. Change: the target is 20 ms, or half of the measured service time if that is longer. Conclusion: the level follows the queue and not the granularity of the slots.

--- a/core/admit/dispatch.go
+++ b/core/admit/dispatch.go
@@ -219,7 +219,8 @@
 func (g *Gate) endPeriod(now time.Time, actions []Action) []Action {
 	oldest := time.Duration(0)
 	g.plain.each(func(e *entry) { oldest = max(oldest, now.Sub(e.arrived)) })
-	g.level.adapt(g.cfg.QueueTarget, oldest)
+	g.level.adapt(g.queueTarget(), oldest)
+	g.typical.decay()
 	for _, r := range g.routes {
 		r.decay()
 	}
@@ -229,6 +230,11 @@
 	return g.evictBelow(g.level.current, actions)
 }
 
+// queueTarget is the declared target, or half of the service time if that is
+// longer: with few slots, a request waits a part of the service time for the
+// next free one without any overload.
+func (g *Gate) queueTarget() time.Duration { return max(g.cfg.QueueTarget, g.typical.mean/2) }
+
 func (g *Gate) eachQueued(f func(*entry)) {
 	g.plain.each(f)
 	g.streams.each(f)
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -20,6 +20,7 @@
 	level    level
 	limiter  limiter
 	routes   routeTable
+	typical  routeTime // of all routes
 	period   time.Time // start of the current period
 	used     time.Time // up to when the use of the limit is recorded
 	floor    floor
@@ -91,6 +92,9 @@
 		g.uploads--
 	}
 	e.route.observe(now.Sub(e.started), r.OK && !r.Cancelled)
+	if !e.req.Stream {
+		g.typical.observe(now.Sub(e.started), r.OK && !r.Cancelled)
+	}
 	g.limiter.end(now, e, r)
 	g.forget(e)
 	return g.dispatch(now, nil)
