--- a/control/replace_test.go
+++ b/control/replace_test.go
@@ -5,12 +5,16 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control/client"
+	"github.com/bilberrydeck/bilberrydeck/storage"
 )
 
 // TestLostDiskAndSecondLoss guards against a repair that leaves the group
@@ -110,3 +114,66 @@
 	c.stop(3)
 	require.Eventually(t, func() bool { return source.ConfirmationAgeMs() > 2000 }, patience, time.Millisecond)
 }
+
+// failingFS fails syncs once it is told to.
+type failingFS struct {
+	storage.OS
+	failing atomic.Bool
+}
+
+type failingFile struct {
+	storage.File
+	fs *failingFS
+}
+
+func (f *failingFS) Create(name string) (storage.File, error) {
+	file, err := f.OS.Create(name)
+	return &failingFile{file, f}, err
+}
+
+func (f *failingFile) Sync() error {
+	if f.fs.failing.Load() {
+		return syscall.ENOSPC
+	}
+	return f.File.Sync()
+}
+
+// TestFullDisk guards against a replica that goes on after a failed sync: it
+// must stop, and the others must continue without it.
+func TestFullDisk(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	disks := map[uint64]*failingFS{}
+	c.adjust = func(cfg *Config) {
+		disks[cfg.ReplicaID] = &failingFS{}
+		cfg.FS = disks[cfg.ReplicaID]
+	}
+	c.start(1, 2, 3)
+	cl := c.client()
+	c.publish(cl, 1)
+	full := c.leader(0)
+	disks[full].failing.Store(true)
+	c.publish(cl, 2)
+	var failed *storage.SyncError
+	require.ErrorAs(t, <-c.running[full].ended, &failed)
+	require.ErrorIs(t, failed, syscall.ENOSPC)
+	delete(c.running, full)
+	c.publish(cl, 3)
+	c.agree(3)
+}
+
+// TestReplaceAskedAtTheNewReplica guards against a replacement that hangs when
+// the operator's list of addresses contains the new replica, which belongs to
+// no group yet and knows no leader.
+func TestReplaceAskedAtTheNewReplica(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.start(1, 2, 3)
+	c.publish(c.client(), 1)
+	c.stop(2)
+	s := c.startAt(4, "127.0.0.1:0")
+	// A client turns to the second address first.
+	cl := client.New(client.Config{Addresses: []string{c.peers[1], s.Addr()}})
+	defer cl.Close()
+	_, err := cl.ReplaceReplica(c.context(), &api.ReplaceReplicaRequest{OldId: 2, NewId: 4, NewAddress: s.Addr()})
+	require.NoError(t, err)
+	c.agree(1)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -88,41 +88,39 @@
 }
 
 func (s *Server) open() error {
-	d, err := storage.OpenDirectory(s.cfg.FS, s.cfg.DataDirectory, s.cfg.ReplicaID, newDiskID())
+	fresh := storage.Identity{Replica: s.cfg.ReplicaID, DiskID: newDiskID(), ClaimShards: s.cfg.ClaimShards}
+	d, err := storage.OpenDirectory(s.cfg.FS, s.cfg.DataDirectory, fresh)
 	if err != nil {
 		return err
 	}
 	s.directory = d
-	if err := s.fixClaimShards(); err != nil {
-		return err
+	// With another number of claim groups a key would move to a group that
+	// does not know its claim, and its work could run twice.
+	if d.Identity.ClaimShards != s.cfg.ClaimShards {
+		return &ConfigError{"claim_shards differs from the number that the data directory was made with"}
 	}
 	address := s.cfg.AdvertiseAddress
 	if address == "" {
 		address = s.Addr()
 	}
 	s.self = &api.ReplicaRef{Id: s.cfg.ReplicaID, DiskId: d.Identity.DiskID, Address: address}
-	for id := range uint32(s.cfg.ClaimShards + 1) {
-		g, err := s.openGroup(id)
-		if err != nil {
-			return err
-		}
-		s.groups = append(s.groups, g)
+	if err := s.openGroups(); err != nil {
+		return err
 	}
 	return s.resumeFounding()
 }
 
-// fixClaimShards refuses a changed number of claim groups: a key would move to
-// another group, which does not know its claim, and its work could run twice.
-func (s *Server) fixClaimShards() error {
-	id := s.directory.Identity
-	if id.ClaimShards == s.cfg.ClaimShards {
-		return nil
-	}
-	if id.ClaimShards != 0 {
-		return &ConfigError{"claim_shards differs from the number that the data directory was made with"}
-	}
-	id.ClaimShards = s.cfg.ClaimShards
-	return s.directory.SaveIdentity(id)
+// openGroups reads all groups at the same time; most of it is waiting for the
+// disk.
+func (s *Server) openGroups() error {
+	s.groups = make([]*group, s.cfg.ClaimShards+1)
+	failures := make([]error, len(s.groups))
+	var all sync.WaitGroup
+	for id := range s.groups {
+		all.Go(func() { s.groups[id], failures[id] = s.openGroup(uint32(id)) })
+	}
+	all.Wait()
+	return errors.Join(failures...)
 }
 
 func (s *Server) serve() {
@@ -130,12 +128,12 @@
 	if s.cfg.ServerTLS != nil {
 		transportCredentials = credentials.NewTLS(s.cfg.ServerTLS)
 	}
-	s.grpc = grpc.NewServer(
+	s.grpc = grpc.NewServer(append([]grpc.ServerOption{
 		grpc.Creds(transportCredentials),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
-	)
+	}, s.cfg.ServerOptions...)...)
 	api.RegisterControlServer(s.grpc, s)
 	api.RegisterReplicaServer(s.grpc, s)
 	if s.cfg.Register != nil {
--- a/daemon/faults_test.go
+++ b/daemon/faults_test.go
@@ -98,6 +98,19 @@
 	}
 }
 
+// TestCrossedHandlerAnswers guards against an upstream that swaps the answers
+// of two requests, which it shows by the request id that it returns.
+func TestCrossedHandlerAnswers(t *testing.T) {
+	back := startNode(t, nodeConfig("b-1", "b"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequestID, strings.TrimPrefix(r.Header.Get(headerRequestID), "swapped-"))
+		_, _ = io.WriteString(w, "answer")
+	}))
+	connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back)
+	require.Equal(t, "answer", readAll(t, back.ask("POST", "/b/y", nil, headerRequestID, "one")))
+	resp := back.ask("POST", "/b/y", nil, headerRequestID, "swapped-two")
+	requireRefusal(t, resp, 502, chain.Unknown, chain.ReasonCrossed)
+}
+
 // TestBrokenConnectionIsUnknown guards against a refusal that says not-run
 // although the request was written, and against resending such work.
 func TestBrokenConnectionIsUnknown(t *testing.T) {
@@ -121,12 +134,10 @@
 // TestRefusedConnectionIsNotRun guards the proof by a count of zero bytes: the
 // work is resent although it is not idempotent.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, closed.Close())
+	const closed = "127.0.0.1:1" // outside the range of ports that listeners are given
 	edge := startNode(t, nodeConfig("edge-1", ""), nil)
 	snapshot := connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, edge)
-	setUpstream(t, edge, snapshot, "b", closed.Addr().String())
+	setUpstream(t, edge, snapshot, "b", closed)
 	requireRefusal(t, edge.ask("POST", "/b/y", nil), 503, chain.NotRun, chain.ReasonConnect)
 
 	back := startNode(t, nodeConfig("b-2", "b"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -134,7 +145,7 @@
 	}))
 	edge = startNode(t, nodeConfig("edge-2", ""), nil)
 	snapshot = connect(t, []declaration.Service{testService("b", testRoute("y", "POST", "/y", false))}, back, edge)
-	setUpstream(t, edge, snapshot, "b", closed.Addr().String(), back.d.Addresses().Peer)
+	setUpstream(t, edge, snapshot, "b", closed, back.d.Addresses().Peer)
 	for range 2 { // the retry budget starts with two
 		require.Equal(t, "done", readAll(t, edge.ask("POST", "/b/y", nil)))
 	}
--- a/relay/daemon_feed.go
+++ b/relay/daemon_feed.go
@@ -44,17 +44,35 @@
 	}
 	d.sub.Received(now, l.endpoint.Name, reportOf(u))
 	if c := u.GetConfig(); c != nil {
-		if err := d.staged.Add(deltaOf(c)); err != nil {
-			d.log.Warn().Str("event", "delta_refused").Str("source", l.endpoint.Name).Err(err).Msg("")
-			l.subscribe = true
-		}
+		d.stage(l, u.GetEcho(), c)
 	}
 	for _, m := range u.GetMembers() {
 		d.applyMembers(now, l, m)
 	}
+	if fresh, ok := d.freshAt(now); ok && fresh.Sub(d.viewFresh) >= feed.RenewEvery/2 {
+		d.changed = true
+	}
 	d.evaluate(now)
 }
 
+func (d *Daemon) freshAt(now time.Time) (time.Time, bool) {
+	age, _, _, ok := d.sub.Confirmation(now)
+	return now.Add(-age), ok
+}
+
+// stage queues a received delta until a majority of relays holds its version.
+func (d *Daemon) stage(l *link, echo uint64, c *api.ConfigDelta) {
+	if err := d.staged.Add(deltaOf(c)); err != nil {
+		d.log.Warn().Str("event", "delta_refused").Str("source", l.endpoint.Name).Err(err).Msg("")
+		l.subscribe = true
+		return
+	}
+	sent := d.refetchSent
+	if sent != nil && sent.link == l && echo >= sent.sequence && c.GetFromVersion() == 0 {
+		d.refetch, d.refetchSent = false, nil
+	}
+}
+
 // evaluate lets the rules decide after each event.
 func (d *Daemon) evaluate(now time.Time) {
 	d.choose(now)
@@ -191,11 +209,11 @@
 	if !d.changed || d.cfg.OnView == nil {
 		return
 	}
-	d.changed, d.viewAt = false, now
+	d.changed = false
 	v := &View{Source: d.sub.Chosen(), Members: d.byName}
 	v.Version, v.Documents, v.Confirmed = d.staged.InForce()
-	if age, _, _, ok := d.sub.Confirmation(now); ok {
-		v.FreshAt = now.Add(-age)
+	if fresh, ok := d.freshAt(now); ok {
+		v.FreshAt, d.viewFresh = fresh, fresh
 	}
 	d.cfg.OnView(v)
 }
