process, publish: last state of the commands, adapter of the feed source restored

Cause: removing the adapter registered the feed server before it existed, since control.New registers services; a stream of a relay then ended the process, and the integration tests waited for their limit.

--- a/cmd/bilberrydeck/daemon.go
+++ b/cmd/bilberrydeck/daemon.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/bilberrydeck/bilberrydeck/daemon"
 	"github.com/bilberrydeck/bilberrydeck/process"
 	"github.com/bilberrydeck/bilberrydeck/settings"
 )
@@ -34,6 +35,7 @@
 	for _, w := range warnings {
 		logger.Warn().Msg(w.String())
 	}
+	daemon.TuneMemory()
 	ctx, force, stop := stopSignals(ctx)
 	defer stop()
 	return process.RunDaemon(ctx, force, s, logger)
--- a/cmd/bilberrydeck/publish.go
+++ b/cmd/bilberrydeck/publish.go
@@ -13,7 +13,7 @@
 		"Collects the declaration files in and below the directories, checks them as a\n"+
 			"whole and sends them to control as one change, which is accepted or refused as a\n"+
 			"whole. Running the same command again after a lost answer resends the same\n"+
-			"change if -number is given.",
+			"change and prints its first answer.",
 		"publish -number 12 .",
 		"publish -set pantdent -number auto -controls 10.20.11.10:7100,10.20.21.10:7100 rounds bookings",
 		"publish -number 13 -remove photos .")
--- a/integration/deck_test.go
+++ b/integration/deck_test.go
@@ -14,6 +14,7 @@
 
 // deck is a whole system on loopback: three control replicas and one daemon
 // for each service of the chain front -> middle -> deep, all of them relays.
+// The deepest service is in another availability zone than the others.
 type deck struct {
 	dir       string
 	authority *authority          // nil without TLS
@@ -33,28 +34,42 @@
 // chainBelow names the service that each one calls.
 var chainBelow = map[string]string{"front": "middle", "middle": "deep", "deep": ""}
 
+// zoneOf is the availability zone of each service.
+var zoneOf = map[string]string{"front": "south-a", "middle": "south-a", "deep": "south-b"}
+
+// otherRelays lists the relays of the other availability zones.
+func otherRelays(relays map[string][]string, own string) string {
+	text := ""
+	for az, list := range relays {
+		if az != own {
+			text += fmt.Sprintf("%q: [%s],", az, quoted(list))
+		}
+	}
+	return text
+}
+
 func newDeck(t *testing.T, secured bool) *deck {
 	t.Helper()
 	d := newControls(t, secured)
-	var relays []string
+	relays := map[string][]string{} // by availability zone
 	for service := range chainBelow {
 		n := &node{entrance: freePort(t), exit: freePort(t), peer: freePort(t), admin: freePort(t), feed: freePort(t)}
 		d.daemons[service] = n
-		relays = append(relays, n.feed)
+		relays[zoneOf[service]] = append(relays[zoneOf[service]], n.feed)
 	}
 	for service, n := range d.daemons {
 		n.upstream = httptest.NewServer(d.handler(service, n.exit))
 		t.Cleanup(n.upstream.Close)
 		n.settings = writeFile(t, d.dir, service+".settings.json", fmt.Sprintf(`{
-			"id": "daemon-%[1]s", "region": "south", "availability_zone": "south-a", "service": %[1]q,
+			"id": "daemon-%[1]s", "region": "south", "availability_zone": %[11]q, "service": %[1]q,
 			"listen": {"entrance": %[2]q, "exit": %[3]q, "peer": %[4]q, "admin": %[5]q},
 			"upstream": {"url": %[6]q},
 			"relays": [%[7]s],
-			"relay": {"listen": %[8]q, "sources": [%[9]s]},
+			"relay": {"listen": %[8]q, "sources": [%[9]s], "others": {%[12]s}},
 			"controls": [%[9]s],
 			%[10]s
-		}`, service, n.entrance, n.exit, n.peer, n.admin, n.upstream.URL, quoted(relays), n.feed, quoted(d.addresses()),
-			d.section(t, "daemon", "daemon-"+service)))
+		}`, service, n.entrance, n.exit, n.peer, n.admin, n.upstream.URL, quoted(relays[zoneOf[service]]), n.feed, quoted(d.addresses()),
+			d.section(t, "daemon", "daemon-"+service), zoneOf[service], otherRelays(relays, zoneOf[service])))
 		n.process = start(t, "daemon", "-settings", n.settings)
 	}
 	return d
--- a/integration/smoke_test.go
+++ b/integration/smoke_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,7 +15,8 @@
 
 // TestSmoke guards against processes that do not work together: changes that
 // are not put in force, chains that do not pass, keyed bookings that run
-// twice, uploads that a planned stop interrupts, and wrong exit codes.
+// twice, uploads that a planned stop interrupts, metrics that the reference does
+// not name, and wrong exit codes.
 func TestSmoke(t *testing.T) {
 	d := newDeck(t, false)
 	out, errs, code := d.publish(t, "1", 4)
@@ -24,6 +26,7 @@
 
 	t.Run("equal numbers", d.equalNumbers)
 	t.Run("status", d.status)
+	t.Run("metrics", d.metrics)
 	t.Run("booking", d.booking)
 	t.Run("planned stop", d.plannedStop)
 	t.Run("forced stop", d.forcedStop)
@@ -41,6 +44,9 @@
 	out, errs, code := d.publish(t, "auto", 5)
 	require.Equal(t, 0, code, errs)
 	require.Contains(t, out, "change 2 of set default")
+	resent, errs, code := d.publish(t, "auto", 5)
+	require.Equal(t, 0, code, errs)
+	require.Equal(t, out, resent)
 }
 
 func (d *deck) status(t *testing.T) {
@@ -77,6 +83,22 @@
 	require.Contains(t, out, "configuration version 2, confirmed true")
 }
 
+// metrics compares the names of the metrics with the reference page.
+func (d *deck) metrics(t *testing.T) {
+	page, err := os.ReadFile("../docs/reference/requests.md")
+	require.NoError(t, err)
+	status, _, body := get(d.daemons["front"].admin, "/debug/vars")
+	require.Equal(t, http.StatusOK, status)
+	var vars struct {
+		Daemon map[string]json.RawMessage `json:"bilberrydeck"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(body), &vars))
+	require.NotEmpty(t, vars.Daemon)
+	for name := range vars.Daemon {
+		require.Contains(t, string(page), "`"+name+"`")
+	}
+}
+
 func (d *deck) booking(t *testing.T) {
 	key := uuid.Must(uuid.NewV7()).String()
 	book := func(service string) string {
--- a/process/control.go
+++ b/process/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
@@ -17,6 +18,10 @@
 	"github.com/bilberrydeck/bilberrydeck/settings"
 )
 
+// reportEvery is how often the reports of daemons are copied from the feed
+// server to the status of the replica.
+const reportEvery = time.Second
+
 // RunControl runs a control replica until ctx ends or its disk fails.
 func RunControl(ctx context.Context, s settings.Control, logger *logging.Logger) error {
 	files := tlsFiles(s.TLS)
@@ -27,24 +32,25 @@
 	if err != nil {
 		return err
 	}
-	var feedServer *relay.ControlServer // needs the server below, which calls Register when it runs
+	source := &feedSource{}
+	feedServer := relay.NewControlServer(relay.ControlConfig{
+		Name: "control-" + strconv.FormatUint(s.ID, 10), Source: source, Log: logger, Authorize: authorize(files),
+	})
 	config.Register = func(r grpc.ServiceRegistrar) { api.RegisterFeedServer(r, feedServer) }
 	server, err := control.New(config)
 	if err != nil {
 		return err
 	}
-	feedServer = relay.NewControlServer(relay.ControlConfig{
-		Name: "control-" + strconv.FormatUint(s.ID, 10), Source: server.ConfigSource(), Log: logger,
-		Authorize: authorize(files), OnReports: server.KeepReports,
-	})
+	source.ConfigSource = server.ConfigSource()
 	running, end := context.WithCancel(ctx)
 	var parts sync.WaitGroup
 	parts.Go(func() { feedServer.Run(running) })
+	parts.Go(func() { keepReports(running, feedServer, server) })
 	defer parts.Wait()
 	defer end()
 	logger.Info().Uint64("replica", s.ID).Str("address", s.Listen).Msg("control started")
 	err = server.Run(ctx)
-	logger.Info().Uint64("replica", s.ID).Err(err).Msg("control stopped")
+	logStopped(logger, "control", err)
 	return err
 }
 
@@ -74,3 +80,33 @@
 		ClaimRetention: s.Retention,
 	}, errors.CombineErrors(serverErr, errors.CombineErrors(clientErr, optionsErr))
 }
+
+func keepReports(ctx context.Context, from *relay.ControlServer, to *control.Server) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			to.KeepReports(from.Daemons(ctx))
+		}
+	}
+}
+
+// feedSource gives the feed server the configuration of the replica.
+type feedSource struct{ *control.ConfigSource }
+
+// Since implements relay.Source. The state machine remembers the removal of
+// services for good, so it can answer for each version.
+func (s *feedSource) Since(version uint64) *api.ConfigDelta {
+	newest, changed, removed := s.ConfigSource.Since(version)
+	return &api.ConfigDelta{FromVersion: version, ToVersion: newest, Services: changed, RemovedServices: removed}
+}
+
+// Confirmation implements relay.Source. The age is read before the version: a
+// version that is applied in between only makes the statement weaker.
+func (s *feedSource) Confirmation() (version uint64, age time.Duration, ok bool) {
+	age, ok = s.ConfirmationAge()
+	return s.Version(), age, ok
+}
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -150,7 +150,7 @@
 	if err == nil && force.Err() != nil {
 		err = &ForcedStopError{}
 	}
-	p.logger.Info().Str("id", p.settings.ID).Err(err).Msg("daemon stopped")
+	logStopped(p.logger, "daemon", err)
 	return err
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -39,3 +39,12 @@
 	_, _ = rand.Read(b[:]) // never fails, as documented
 	return binary.LittleEndian.Uint64(b[:])
 }
+
+// logStopped writes the last line of a process.
+func logStopped(logger *logging.Logger, process string, err error) {
+	if err != nil {
+		logger.Error().Err(err).Msg(process + " stopped")
+		return
+	}
+	logger.Info().Msg(process + " stopped")
+}
--- a/publish/change.go
+++ b/publish/change.go
@@ -71,6 +71,8 @@
 }
 
 // Send publishes the services as one change and returns it with the result.
+// Without a number, the last change of the set is sent again if it is this one,
+// as after a lost answer; otherwise the next number is taken.
 func Send(ctx context.Context, p Publisher, services []declaration.Service, o Options) (*api.Change, *api.ChangeResult, error) {
 	if o.Set == "" {
 		o.Set = DefaultSet
@@ -80,6 +82,9 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		if change, result, err := resend(ctx, p, services, o, last); err != nil || result != nil {
+			return change, result, err
+		}
 		o.Number = last + 1
 	}
 	change := NewChange(services, o)
@@ -87,6 +92,22 @@
 	return change, result, err
 }
 
+// resend returns the first answer if the last change of the set has the id that
+// this change would have under its number. A number that is taken is never
+// accepted again, so nothing changes otherwise; the result is then nil.
+func resend(ctx context.Context, p Publisher, services []declaration.Service, o Options, last uint64) (*api.Change, *api.ChangeResult, error) {
+	if last == 0 {
+		return nil, nil, nil
+	}
+	o.Number = last
+	change := NewChange(services, o)
+	result, err := p.Publish(ctx, change)
+	if err != nil || result.Status == api.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		return change, result, err
+	}
+	return nil, nil, nil
+}
+
 // lastNumber asks for the last accepted number of a set. Numbers start at 1,
 // so a change with number 0 is always refused, stores nothing, and its answer
 // carries the last number.
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -109,6 +109,7 @@
 	auto := send(Options{}, changed)
 	require.Equal(t, uint64(2), auto.Number)
 	require.True(t, auto.Accepted)
+	require.Equal(t, auto, send(Options{}, changed), "a resend without a number")
 	require.Contains(t, send(Options{Number: 9}, a).String(), "the next number of the set is 3")
 	b, err := declaration.Decode([]byte(commandes))
 	require.NoError(t, err)
