demo: the whole system in one process, under overload

Cause: a newcomer needs one command that shows what the system does. Change: the package demo starts a control replica, eight daemons with two relays, and emulated upstreams through package process, publishes the declarations and runs the overload scenario. Addresses come from below the range of outgoing ports: a first try took reserved addresses that the emulated upstreams then got.

--- a/cmd/bilberrydeck/main.go
+++ b/cmd/bilberrydeck/main.go
@@ -41,6 +41,7 @@
 		{"check", "validate declaration and settings files", runCheck},
 		{"status", "show the state of control or of a daemon", runStatus},
 		{"replica", "replace a lost control replica", runReplica},
+		{"demo", "show the system under overload on this machine", runDemo},
 		{"loadtest", "measure the request path under overload", runLoadtest},
 		{"version", "print the version of the program", runVersion},
 	}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,301 @@
+// Package demo runs a small Pant Dent in one process on loopback: a control
+// replica, daemons beside emulated upstreams four services deep, steady load,
+// then a slow deep service together with a surge and hard retries, then calm.
+// The processes are those of package process, configured by settings and by a
+// published change; only the operating system processes are missing.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control/client"
+	"github.com/bilberrydeck/bilberrydeck/declaration"
+	"github.com/bilberrydeck/bilberrydeck/emulator"
+	"github.com/bilberrydeck/bilberrydeck/loadtest"
+	"github.com/bilberrydeck/bilberrydeck/logging"
+	"github.com/bilberrydeck/bilberrydeck/process"
+	"github.com/bilberrydeck/bilberrydeck/settings"
+)
+
+// startLimit bounds the time until all daemons serve.
+const startLimit = 10 * time.Second
+
+// Scenario is the load of the demo, which ends within 30 s.
+func Scenario() emulator.Scenario {
+	s := emulator.DefaultScenario()
+	s.Steady, s.Overload, s.Calm = 4*time.Second, 8*time.Second, 6*time.Second
+	return s
+}
+
+// StartError reports that the system did not come into service.
+type StartError struct{ Waiting string }
+
+// Error implements error.
+func (e *StartError) Error() string {
+	return "the system did not start: still waiting for " + e.Waiting
+}
+
+// system is the running demo.
+type system struct {
+	scenario emulator.Scenario
+	dir      string
+	logger   *logging.Logger
+	control  string // address
+	daemons  map[string][]settings.Daemon
+	fleet    *emulator.Fleet
+
+	ctx    context.Context
+	force  context.Context
+	parts  sync.WaitGroup
+	mu     sync.Mutex
+	failed error // first failure of a process
+}
+
+// Run starts the system, runs the scenario and stops the system. The logs of
+// all processes go to a file in dir, decisions included.
+func Run(ctx context.Context, s emulator.Scenario, dir string, progress func(string)) (*loadtest.Result, error) {
+	logFile, err := os.Create(filepath.Join(dir, "demo.log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "creating the log file")
+	}
+	defer func() { _ = logFile.Close() }()
+	sys := &system{scenario: s, dir: dir, logger: logging.New(&syncWriter{w: logFile}), daemons: make(map[string][]settings.Daemon)}
+	running, stop := context.WithCancel(ctx)
+	force, kill := context.WithCancel(context.Background())
+	sys.ctx, sys.force = running, force
+	defer sys.parts.Wait()
+	defer kill()
+	defer stop()
+	progress("starting control, daemons and upstreams")
+	if err := sys.start(); err != nil {
+		return nil, err
+	}
+	defer sys.fleet.Close()
+	rep := s.Run(ctx, sys.fleet, sys.targets, progress)
+	return loadtest.NewResult(s, rep, sys.fleet), sys.failure()
+}
+
+func (s *system) start() error {
+	if err := s.configure(); err != nil {
+		return err
+	}
+	s.run("control", func() error {
+		return process.RunControl(s.ctx, settings.Control{
+			ID: 1, Listen: s.control, DataDir: filepath.Join(s.dir, "control"), ClaimShards: 2,
+			Retention: settings.DefaultRetention,
+		}, s.logger)
+	})
+	for _, list := range s.daemons {
+		for _, d := range list {
+			s.run(d.ID, func() error { return process.RunDaemon(s.ctx, s.force, d, s.logger) })
+		}
+	}
+	if err := s.publish(); err != nil {
+		return err
+	}
+	return s.awaitServing()
+}
+
+// run keeps a process of the system in a goroutine.
+func (s *system) run(name string, f func() error) {
+	s.parts.Go(func() {
+		err := f()
+		if err == nil || s.ctx.Err() != nil {
+			return // a stop of the demo
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.failed = errors.CombineErrors(s.failed, errors.Wrap(err, name))
+	})
+}
+
+func (s *system) failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// publish sends the declarations of the emulated services as one change.
+func (s *system) publish() error {
+	c := client.New(client.Config{Addresses: []string{s.control}})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(s.ctx, startLimit)
+	defer cancel()
+	ch := &api.Change{Set: "default", Number: 1, ChangeId: "demo", Author: "demo"}
+	for _, name := range emulator.Services() {
+		doc := declaration.Encode(emulator.Declaration(name))
+		ch.Services = append(ch.Services, &api.ServiceDocument{Service: name, Json: doc})
+	}
+	res, err := c.Publish(ctx, ch)
+	if err != nil {
+		return errors.Wrap(err, "publishing the declarations")
+	}
+	if res.Status != api.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		return errors.Newf("publishing the declarations: %v %v", res.Status, res.Problems)
+	}
+	return nil
+}
+
+// awaitServing waits until each kind of request gets a whole answer through
+// each entrance.
+func (s *system) awaitServing() error {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	end := time.Now().Add(startLimit)
+	for _, kind := range s.scenario.Kinds() {
+		if kind.Call.Method != http.MethodGet {
+			continue
+		}
+		for _, base := range s.targets(kind.Call) {
+			for !served(client, base+kind.Call.Path) {
+				if err := s.failure(); err != nil {
+					return err
+				}
+				if time.Now().After(end) || s.ctx.Err() != nil {
+					return &StartError{Waiting: "an answer to " + base + kind.Call.Path}
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+	return nil
+}
+
+func served(client *http.Client, url string) bool {
+	resp, err := client.Get(url)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// targets are the entrances of the daemons beside the called service.
+func (s *system) targets(c emulator.CallSpec) []string {
+	var out []string
+	for _, d := range s.daemons[c.Service] {
+		out = append(out, "http://"+d.Listen.Entrance+"/"+c.Service)
+	}
+	return out
+}
+
+// availabilityZone is that of the n-th upstream of a service: one region with two
+// availability zones.
+func availabilityZone(n int) string { return fmt.Sprintf("south-%c", 'a'+n%2) }
+
+// configure chooses addresses, starts the emulated upstreams and writes the
+// settings of all daemons. The daemons beside the first service's upstreams
+// are the relays, one in each availability zone.
+func (s *system) configure() error {
+	ports, err := freeAddresses(1 + s.scenario.UpstreamsPerService*(len(emulator.Services())*4+1))
+	if err != nil {
+		return err
+	}
+	next := func() string {
+		address := ports[0]
+		ports = ports[1:]
+		return address
+	}
+	s.control = next()
+	relays := make(map[string][]string)
+	for n := range min(s.scenario.UpstreamsPerService, 2) {
+		relays[availabilityZone(n)] = []string{next()}
+	}
+	for i, service := range emulator.Services() {
+		for n := range s.scenario.UpstreamsPerService {
+			d := s.daemonSettings(service, n, next)
+			d.Relays = relays[d.AvailabilityZone]
+			if i == 0 && n < 2 {
+				d.Relay = s.relaySettings(d.AvailabilityZone, relays)
+			}
+			s.daemons[service] = append(s.daemons[service], d)
+		}
+	}
+	return s.startFleet()
+}
+
+func (s *system) daemonSettings(service string, n int, next func() string) settings.Daemon {
+	return settings.Daemon{
+		ID: fmt.Sprintf("%s-%d", service, n+1), Region: "south", AvailabilityZone: availabilityZone(n), Service: service,
+		Listen:   settings.DaemonListen{Entrance: next(), Exit: next(), Peer: next(), Admin: next()},
+		Controls: []string{s.control},
+	}
+}
+
+func (s *system) relaySettings(az string, relays map[string][]string) *settings.Relay {
+	r := &settings.Relay{Listen: relays[az][0], Source: []string{s.control}, Others: make(map[string][]string)}
+	for other, list := range relays {
+		if other != az {
+			r.Others[other] = list
+		}
+	}
+	return r
+}
+
+// startFleet starts the upstreams; their addresses complete the settings.
+func (s *system) startFleet() error {
+	caller := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	fleet, err := s.scenario.StartFleet(0, func(_ *emulator.Fleet, service string, n int) emulator.Caller {
+		return &emulator.ExitCaller{Base: "http://" + s.daemons[service][n].Listen.Exit, Client: caller}
+	})
+	if err != nil {
+		return errors.Wrap(err, "starting the emulated upstreams")
+	}
+	s.fleet = fleet
+	for service, list := range s.daemons {
+		for n := range list {
+			list[n].Upstream.URL = "http://" + fleet.Addresses[service][n]
+		}
+	}
+	return nil
+}
+
+// The ports that are tried lie below the range from which outgoing connections
+// and listeners on port 0 take theirs.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
+// freeAddresses finds loopback addresses that nothing listens on.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	offset := os.Getpid() * 64 % (lastPort - firstPort) // two demos at once start at different ports
+	for i := range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(offset+i)%(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // in use
+		}
+		_ = l.Close()
+		if out = append(out, address); len(out) == n {
+			return out, nil
+		}
+	}
+	return nil, &StartError{Waiting: fmt.Sprintf("%d free ports on loopback", n)}
+}
+
+// syncWriter lets several loggers share a file.
+type syncWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write implements io.Writer.
+func (s *syncWriter) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.w.Write(p)
+}
--- a/loadtest/daemons.go
+++ b/loadtest/daemons.go
@@ -122,7 +122,8 @@
 	Amplification float64 // calls to the deep service for each request that reached the first one
 }
 
-func newResult(s emulator.Scenario, rep *emulator.Report, fleet *emulator.Fleet) *Result {
+// NewResult summarises a run of the scenario.
+func NewResult(s emulator.Scenario, rep *emulator.Report, fleet *emulator.Fleet) *Result {
 	return &Result{Report: rep, Bottleneck: s.Bottleneck(), Kinds: s.Kinds(), Amplification: fleet.Amplification()}
 }
 
@@ -146,7 +147,7 @@
 		return nil, err
 	}
 	rep := s.Run(ctx, fleet, d.targets, progress)
-	return newResult(s, rep, fleet), nil
+	return NewResult(s, rep, fleet), nil
 }
 
 // RunDirect runs the scenario without daemons; see emulator.Scenario.RunDirect.
@@ -155,7 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newResult(s, rep, fleet), nil
+	return NewResult(s, rep, fleet), nil
 }
 
 // memoryClaims keeps claims in one machine without replication.
