control: no change is accepted before every group is formed

Cause: the founder could lose its disk after the configuration group was replicated and before a claim group was. The claim group then existed nowhere, 'replica replace' waited for it for ever, and the system could not be repaired although changes had been accepted. Found by TestSecondLossRightAfterRepair, which kills the founder 0.9 s after its start; the log of the run shows no leader of group 2 at any replica. Ruled out: the asked replica (the client does not ask the new one any more) and the proxies (the same test passed when the kill came later). Change: Publish answers Unavailable (control.FormingError) until each group has a committed entry; clients wait and resend. Conclusion: an accepted change now implies that every group can be repaired.

--- a/control/errors.go
+++ b/control/errors.go
@@ -46,6 +46,14 @@
 	return fmt.Sprintf("group %d: the queue of proposals is full; the command was not appended", e.Group)
 }
 
+// FormingError reports that a group has no committed entry yet, so changes are
+// not accepted.
+type FormingError struct{ Group uint32 }
+
+func (e *FormingError) Error() string {
+	return fmt.Sprintf("group %d is still being formed; changes are accepted afterwards", e.Group)
+}
+
 // MachineError reports a machine that cannot make or restore a snapshot.
 type MachineError struct {
 	Group uint32
@@ -63,6 +71,7 @@
 	var notLeader *raft.NotLeaderError
 	var unknown *OutcomeUnknownError
 	var overloaded *OverloadedError
+	var forming *FormingError
 	switch {
 	case errors.As(err, &notLeader):
 		detail := &api.NotLeader{Group: group, ClaimShards: uint32(s.cfg.ClaimShards), LeaderAddress: notLeader.Leader.GetAddress()}
@@ -71,6 +80,8 @@
 		return withDetail(codes.Aborted, err, &api.OutcomeUnknown{})
 	case errors.As(err, &overloaded):
 		return status.Error(codes.ResourceExhausted, err.Error())
+	case errors.As(err, &forming):
+		return status.Error(codes.Unavailable, err.Error())
 	case status.Code(err) != codes.Unknown:
 		return err
 	}
--- a/control/founding.go
+++ b/control/founding.go
@@ -129,3 +129,20 @@
 	defer cancel()
 	return api.NewReplicaClient(conn).Introduce(ctx, &api.IntroduceRequest{}, grpc.WaitForReady(true))
 }
+
+// formed returns an error until a quorum of every group holds its first entry.
+// Before that only the founder's disk may hold a group, and its loss could not
+// be repaired: a changed configuration must not be accepted while claims could
+// still need a new start of the whole system.
+func (s *Server) formed() error {
+	if s.allFormed.Load() {
+		return nil
+	}
+	for _, g := range s.groups {
+		if v := g.view.Load(); v == nil || v.status.Commit == 0 {
+			return &FormingError{Group: g.id}
+		}
+	}
+	s.allFormed.Store(true)
+	return nil
+}
--- a/control/server.go
+++ b/control/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -34,6 +35,7 @@
 	transport *transport
 	source    *ConfigSource
 	reports   reports
+	allFormed atomic.Bool   // each group has had a committed entry
 	stopped   chan struct{} // closed when Run returns
 
 	api.UnimplementedControlServer
--- a/control/service.go
+++ b/control/service.go
@@ -14,6 +14,9 @@
 
 // Publish proposes a change of the configuration.
 func (s *Server) Publish(ctx context.Context, change *api.Change) (*api.ChangeResult, error) {
+	if err := s.formed(); err != nil {
+		return nil, s.grpcError(0, err)
+	}
 	cmd := &api.ConfigCommand{UnixMs: s.cfg.Clock().UnixMilli(), Change: change}
 	res := &api.ChangeResult{}
 	if err := s.execute(ctx, 0, cmd, res); err != nil {
