core/admit: a class is shed only for its own waits and refusals

Cause: the level rose into the critical class although only default requests waited: the queue still held those that had come before the level rose, and their waits counted for all. Seen in a trace of the levels, where the deep gates stood at 250 to 290 (critical starts at 256) with 75% critical demand. Change: waits and refusals are kept by class; the level rises only for the class at the level or above, and falls only when no class waits.

--- a/core/admit/dispatch.go
+++ b/core/admit/dispatch.go
@@ -76,7 +76,7 @@
 	if e.req.Stream {
 		g.uploads++
 	} else {
-		g.level.wait(now.Sub(e.arrived)) // uploads wait for their share, which is no overload
+		g.level.wait(e.req.Priority.Class(), now.Sub(e.arrived)) // uploads wait for their share, which is no overload
 	}
 	g.limiter.begin(now, e, g.running >= g.limiter.current())
 	return Action{Kind: Run, ID: e.req.ID}
@@ -137,8 +137,9 @@
 // out, which is a lack of capacity unless it waited for the upload share.
 func (g *Gate) refuseLate(now time.Time, e *entry) Action {
 	if !e.req.Stream {
-		g.level.noRoom++
-		g.level.wait(now.Sub(e.arrived))
+		class := e.req.Priority.Class()
+		g.level.classes[class].noRoom++
+		g.level.wait(class, now.Sub(e.arrived))
 	}
 	f := chain.NewFailure(chain.NotRun, chain.ReasonDeadline, "the deadline would pass before the end of the service")
 	a := refuse(e.req, f)
@@ -163,7 +164,7 @@
 	if g.plain.size+g.streams.size > g.cfg.MaxQueue {
 		last := g.lowest()
 		class := last.req.Priority.Class()
-		g.level.noRoom++
+		g.level.classes[class].noRoom++
 		actions = append(actions, g.evict(last, f))
 		return g.raiseFloor(class, actions)
 	}
@@ -217,9 +218,11 @@
 // endPeriod adapts the level, refuses queued work below it, and ages the floor
 // and the service times.
 func (g *Gate) endPeriod(now time.Time, actions []Action) []Action {
-	oldest := time.Duration(0)
-	g.plain.each(func(e *entry) { oldest = max(oldest, now.Sub(e.arrived)) })
-	g.level.adapt(g.queueTarget(), oldest)
+	g.plain.each(func(e *entry) {
+		p := &g.level.classes[e.req.Priority.Class()]
+		p.oldest = max(p.oldest, now.Sub(e.arrived))
+	})
+	g.level.adapt(g.queueTarget())
 	g.typical.decay()
 	for _, r := range g.routes {
 		r.decay()
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -234,11 +234,11 @@
 		l.arrive(chain.MaxPriority - 1)
 	}
 	l.use(time.Second, 1, 10)
-	l.adapt(20*time.Millisecond, 0)
+	l.adapt(20 * time.Millisecond)
 	require.Equal(t, chain.MaxPriority-40, l.current)
 	for range 6 {
 		l.use(time.Second, 0, 10)
-		l.adapt(20*time.Millisecond, 0)
+		l.adapt(20 * time.Millisecond)
 	}
 	require.Zero(t, l.current, "an idle gate is open within a second")
 }
@@ -251,12 +251,26 @@
 		for p := range chain.MaxPriority {
 			l.arrive(p)
 		}
-		l.noRoom = 1000
-		l.adapt(time.Millisecond, 0)
+		l.classes[chain.Critical].noRoom = 1000
+		l.adapt(time.Millisecond)
 		require.Equal(t, want, l.current)
 	}
 }
 
+// TestLowerClassDoesNotShedHigher guards against critical requests that are
+// refused because default ones, queued before the level rose, still wait.
+func TestLowerClassDoesNotShedHigher(t *testing.T) {
+	l := level{current: chain.Critical.MinPriority()}
+	for range 10 {
+		l.arrive(chain.MaxPriority - 1)
+		l.wait(chain.Critical, time.Millisecond)
+		l.wait(chain.Default, time.Second)
+	}
+	l.classes[chain.Default].noRoom = 10
+	l.adapt(20 * time.Millisecond)
+	require.Equal(t, chain.Critical.MinPriority(), l.current, "it neither rises nor falls")
+}
+
 // TestLevels guards against an entrance that refuses because of one upstream,
 // or because of a report that has become old.
 func TestLevels(t *testing.T) {
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -31,14 +31,30 @@
 	histogram [chain.MaxPriority]float32 // arrivals by priority, decayed by period
 
 	// Of the current period:
-	waits    int
-	waitSum  time.Duration
+	classes  [classCount]pressure
 	admitted int           // arrivals at or above the level
-	noRoom   int           // refusals for lack of room, or of time in the queue
 	busy     time.Duration // integral of the running requests
 	capacity time.Duration // integral of the limit
 }
 
+const classCount = int(chain.Critical) + 1
+
+// pressure is what the requests of one class met in a period.
+type pressure struct {
+	waits   int
+	waitSum time.Duration
+	oldest  time.Duration // wait of the oldest queued entry at the end of the period
+	noRoom  int           // refusals for lack of room, or of time in the queue
+}
+
+// mean is the mean queue wait, or the oldest wait if nothing left the queue.
+func (p pressure) mean() time.Duration {
+	if p.waits > 0 {
+		return p.waitSum / time.Duration(p.waits)
+	}
+	return p.oldest
+}
+
 func (l *level) arrive(p chain.Priority) {
 	l.histogram[p]++
 	if p >= l.current {
@@ -46,9 +62,9 @@
 	}
 }
 
-func (l *level) wait(d time.Duration) {
-	l.waits++
-	l.waitSum += d
+func (l *level) wait(class chain.Class, d time.Duration) {
+	l.classes[class].waits++
+	l.classes[class].waitSum += d
 }
 
 // use adds an interval with a constant number of running requests.
@@ -57,20 +73,32 @@
 	l.capacity += d * time.Duration(limit)
 }
 
-// adapt ends a period. oldest is the wait of the oldest queued entry.
-func (l *level) adapt(target, oldest time.Duration) {
-	mean := oldest // if nothing was started in the whole period
-	if l.waits > 0 {
-		mean = l.waitSum / time.Duration(l.waits)
-	}
-	if mean > target || l.noRoom > 0 {
-		l.rise(min(max(float32(mean-target)/float32(target), 0.2), 1))
-	} else {
-		l.fall(1 - float32(mean)/float32(target))
+// adapt ends a period. A class is shed only for what it, or a class above it,
+// met itself: the queue still holds requests of lower classes that came before
+// the level rose, and their waits must not shed higher classes, which overtake
+// them.
+func (l *level) adapt(target time.Duration) {
+	own, noRoom := l.pressureFrom(l.current.Class())
+	all, anyNoRoom := l.pressureFrom(chain.Sheddable)
+	switch {
+	case own > target || noRoom > 0:
+		l.rise(min(max(float32(own-target)/float32(target), 0.2), 1), noRoom)
+	case all <= target && anyNoRoom == 0:
+		l.fall(1 - float32(all)/float32(target))
 	}
 	l.reset()
 }
 
+// pressureFrom is the longest mean wait of a class from the given one on, and
+// the refusals of these classes for lack of room.
+func (l *level) pressureFrom(class chain.Class) (wait time.Duration, noRoom int) {
+	for _, p := range l.classes[class:] {
+		wait = max(wait, p.mean())
+		noRoom += p.noRoom
+	}
+	return wait, noRoom
+}
+
 // aboveLevel is the number of arrivals that the level admits, by the histogram.
 func (l *level) aboveLevel() float32 {
 	sum := float32(0)
@@ -83,10 +111,10 @@
 // rise sheds riseStep of the admitted arrivals, scaled by how far the wait
 // exceeds the target (excess, 0.2 to 1), or the part that found no room
 // if that is larger: 5% a period would need seconds for a fifteenfold surge.
-func (l *level) rise(excess float32) {
+func (l *level) rise(excess float32, noRoom int) {
 	part := riseStep * excess
 	if l.admitted > 0 {
-		part = max(part, min(1, float32(l.noRoom)/float32(l.admitted)))
+		part = max(part, min(1, float32(noRoom)/float32(l.admitted)))
 	}
 	want := part * l.aboveLevel()
 	top := l.riseBound()
@@ -136,5 +164,6 @@
 			l.histogram[i] = 0
 		}
 	}
-	l.waits, l.waitSum, l.admitted, l.noRoom, l.busy, l.capacity = 0, 0, 0, 0, 0, 0
+	l.classes = [classCount]pressure{}
+	l.admitted, l.busy, l.capacity = 0, 0, 0
 }
