--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -63,10 +63,6 @@
 	g.procs[id] = start(g.t, "control", "-settings", path)
 }
 
-// reserve fixes the address of a replica that starts later, so that the others
-// can be told how to dial it.
-func (g *controlGroup) reserve(id int) { g.address[id] = freePort(g.t) }
-
 func (g *controlGroup) link(from, to int) *faultProxy {
 	key := [2]int{from, to}
 	if g.links[key] == nil {
--- a/integration/proxy_test.go
+++ b/integration/proxy_test.go
@@ -53,13 +53,6 @@
 	p.changed.Broadcast()
 }
 
-// reset breaks all connections that are open now.
-func (p *faultProxy) reset() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.breakAll()
-}
-
 func (p *faultProxy) breakAll() {
 	for c := range p.open {
 		_ = c.Close()
