core/admit: critical work waits three times as long before it is shed

Cause: with critical demand at 75 to 80% of the bottleneck, bursts of critical requests waited longer than the target of half a service time; some were shed, and default requests ran in their place once the level fell. Change: while only critical requests are admitted, the queue target is three times as long; deadlines still bound the wait. The load test counts inversions by class.

--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -20,6 +20,10 @@
 	maxFallStep = 1.0
 	// histogramKeep is the weight of earlier periods in the histogram.
 	histogramKeep = 0.7
+	// criticalPatience multiplies the queue target while only critical requests
+	// are admitted: bursts of them wait longer before any is shed, since no class
+	// is above them that the wait would harm.
+	criticalPatience = 3
 	// maxLevel always admits the highest priority, so that load keeps being
 	// measured and a gate never closes by its own level.
 	maxLevel = chain.MaxPriority - 1
@@ -80,6 +84,9 @@
 func (l *level) adapt(target time.Duration) {
 	own, noRoom := l.pressureFrom(l.current.Class())
 	all, anyNoRoom := l.pressureFrom(chain.Sheddable)
+	if l.current >= chain.Critical.MinPriority() {
+		target *= criticalPatience
+	}
 	switch {
 	case own > target || noRoom > 0:
 		l.rise(min(max(float32(own-target)/float32(target), 0.2), 1), noRoom)
--- a/emulator/report.go
+++ b/emulator/report.go
@@ -147,9 +147,10 @@
 
 // Inversions counts, in windows of a phase, the requests of a class that got
 // no whole answer although a request of a lower class that started in the same
-// window got one. The order of the classes is the order of the argument, from
-// the one that is shed first.
-func (rep *Report) Inversions(phase int, kinds []Kind, order []string) (inverted, requests int) {
+// window got one, by class. The order of the classes is the order of the
+// argument, from the one that is shed first.
+func (rep *Report) Inversions(phase int, kinds []Kind, order []string) (inverted map[string]int, requests int) {
+	inverted = make(map[string]int)
 	class := make(map[string]int)
 	for _, k := range kinds {
 		class[k.Name] = slices.Index(order, k.Class)
@@ -169,7 +170,7 @@
 		requests++
 		served, ok := lowest[int((res.start-begin)/recoveryWindow)]
 		if !res.ok && ok && served < class[res.kind] {
-			inverted++
+			inverted[order[class[res.kind]]]++
 		}
 	}
 	return inverted, requests
--- a/loadtest/print.go
+++ b/loadtest/print.go
@@ -41,7 +41,7 @@
 
 // Inversions counts the requests of the overload that got no whole answer while
 // one of a lower class did.
-func (r *Result) Inversions() (inverted, requests int) {
+func (r *Result) Inversions() (inverted map[string]int, requests int) {
 	return r.Report.Inversions(phaseOverload, r.Kinds, chain.ClassNames())
 }
 
@@ -58,7 +58,7 @@
 	}
 	inverted, requests := r.Inversions()
 	_, _ = fmt.Fprintf(w, "calls to the deep service for each request that reached the first one: %.2f\n", r.Amplification)
-	_, _ = fmt.Fprintf(w, "requests without a whole answer while a lower class got one, in the overload: %d of %d\n", inverted, requests)
+	_, _ = fmt.Fprintf(w, "requests without a whole answer while a lower class got one, in the overload, of %d%s\n", requests, counts(inverted))
 	_, _ = fmt.Fprintf(w, "broken promises: %d%s\n", r.Broken(), counts(r.Report.Broken))
 }
 
@@ -74,6 +74,7 @@
 func (r *Result) Summary(result string) string {
 	recovery, ok := r.RecoverySeconds()
 	inverted, _ := r.Inversions()
-	return fmt.Sprintf("result=%s goodput_ratio=%.3f recovery_s=%.2f recovered=%t amplification=%.2f inversions=%d broken=%d",
-		result, r.GoodputRatio(), recovery, ok, r.Amplification, inverted, r.Broken())
+	critical, normal := inverted[chain.Critical.String()], inverted[chain.Default.String()]
+	return fmt.Sprintf("result=%s goodput_ratio=%.3f recovery_s=%.2f recovered=%t amplification=%.2f inversions_critical=%d inversions_default=%d broken=%d",
+		result, r.GoodputRatio(), recovery, ok, r.Amplification, critical, normal, r.Broken())
 }
