daemon: not-run only if it holds for all attempts of a call

Cause: the outcome of a call was that of its last attempt. An idempotent request whose first attempt broke off while its handler ran, and whose retry found no connection, was refused with not-run although its handler had been entered. Change: a call remembers whether an attempt ended without proof of not-run; its refusal is then unknown, with the reason of the last attempt.

--- a/daemon/call.go
+++ b/daemon/call.go
@@ -30,6 +30,7 @@
 	version uint64
 	tried   []string
 	entered bool // came from a caller, not from the local service
+	mayRun  bool // an attempt ended without proof that its handler did not run
 }
 
 // attempt is the result of one attempt: an answer, a failure, or an answer
@@ -63,6 +64,7 @@
 			last.answer.discard()
 		}
 		a := c.try(choice, number)
+		c.mayRun = c.mayRun || a.failure != nil && a.failure.Outcome != chain.NotRun
 		if a.failure == nil || !c.again(a) {
 			return c.conclude(w, a)
 		}
@@ -207,19 +209,32 @@
 // conclude passes the final attempt on to the caller.
 func (c *call) conclude(w http.ResponseWriter, a *attempt) (*chain.Failure, bool) {
 	if a.answer == nil {
-		c.refuse(w, a.failure, 0)
-		return a.failure, false
+		failure := c.overall(a.failure)
+		c.refuse(w, failure, 0)
+		return failure, false
 	}
 	if a.refused {
 		after := parseRetryAfter(a.answer.header.Get("Retry-After"))
 		c.settle(a, c.unused(a))
 		a.answer.discard()
-		c.refuse(w, a.failure, after)
-		return a.failure, false
+		failure := c.overall(a.failure)
+		c.refuse(w, failure, after)
+		return failure, false
 	}
 	return c.deliver(w, a)
 }
 
+// overall is the failure of the call, given that of its last attempt. The
+// outcome not-run holds for the call only if it holds for all attempts.
+func (c *call) overall(last *chain.Failure) *chain.Failure {
+	if last == nil || last.Outcome != chain.NotRun || !c.mayRun {
+		return last
+	}
+	f := *last
+	f.Outcome = chain.Unknown
+	return &f
+}
+
 // deliver passes a handler's answer on. A truncated one is reported, so that
 // the caller's connection is cut off.
 func (c *call) deliver(w http.ResponseWriter, a *attempt) (*chain.Failure, bool) {
