integration: truthful refusals and whole answers while daemons are killed

Cause: no test compared the outcomes that callers got during crashes with what the handlers had seen. Change: eight callers send lookups and bookings while daemons are killed and restarted 14 times (fixed seed), sometimes both upstreams' daemons at once. A request refused with not-run must not have entered a handler; an answer with status 200 must equal the echo of its request id with a checksum and 2 to 64 KiB, sent in two parts.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -234,8 +234,17 @@
 		if strings.HasSuffix(r.URL.Path, "slow") {
 			<-held
 		}
-		time.Sleep(2 * time.Millisecond)             // so that faults meet running handlers
-		_, _ = io.WriteString(w, echo(r.Method, id)) // the daemon has left if this fails
+		body := echo(r.Method, id)
+		if id[0]%2 == 0 { // the others are sent in chunks
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		}
+		// Faults meet running handlers and answers that are under way. The
+		// daemon has left if a write fails.
+		time.Sleep(2 * time.Millisecond)
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(2 * time.Millisecond)
+		_, _ = io.WriteString(w, body[len(body)/2:])
 	})
 }
 
--- a/integration/request_faults_test.go
+++ b/integration/request_faults_test.go
@@ -1,7 +1,10 @@
 package integration
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,3 +76,87 @@
 	require.Equal(t, http.StatusOK, r.status, "%v", r)
 	require.True(t, echo(http.MethodPost, f.visits.idOfKey(key)) == r.body, "not the answer of the first run: %v", r)
 }
+
+// truthful checks one answer after all handlers have ended.
+func (f *fleet) truthful(r result) {
+	f.t.Helper()
+	if r.notRun() {
+		require.Empty(f.t, f.visits.of(r.id), "refused as not run, but its handler was entered: %v", r)
+	}
+	if r.status == http.StatusOK {
+		require.True(f.t, echo(r.method, r.id) == r.body, "not the whole answer to its request: %v", r)
+	}
+}
+
+// killAndRestart kills daemons, starts them again after a pause and waits until
+// they have a confirmed configuration.
+func (f *fleet) killAndRestart(names []string, pause time.Duration) {
+	f.t.Helper()
+	for _, name := range names {
+		f.daemons[name].kill()
+	}
+	time.Sleep(pause)
+	for _, name := range names {
+		f.daemons[name].run()
+	}
+	for _, name := range names {
+		until(f.t, "a confirmed start of "+name, func() bool {
+			_, confirmed, _ := f.daemons[name].status()
+			return confirmed
+		})
+	}
+}
+
+// TestTruthfulUnderKills guards against refusals that say not-run for a request
+// whose handler was entered, and against answers that are short or belong to
+// another request, while daemons are killed and restarted.
+func TestTruthfulUnderKills(t *testing.T) {
+	f := newFleet(t)
+	f.serve()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	var results []result
+	for worker := range 8 {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(7, uint64(worker)))
+			for range 2000 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				method, path := http.MethodGet, "/look"
+				if random.IntN(2) == 0 {
+					method, path = http.MethodPost, "/book"
+				}
+				r := f.ask(method, relayNames[random.IntN(3)], path, "", 2*time.Second)
+				mu.Lock()
+				results = append(results, r)
+				mu.Unlock()
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(7, 100))
+	names := append(append([]string(nil), upstreamNames...), relayNames...)
+	for range 14 {
+		victims := []string{names[random.IntN(len(names))]}
+		if random.IntN(3) == 0 { // retries then meet another dead daemon
+			victims = upstreamNames
+		}
+		f.killAndRestart(victims, time.Duration(random.IntN(200))*time.Millisecond)
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	}
+	close(stop)
+	callers.Wait()
+	count := map[string]int{}
+	for _, r := range results {
+		f.truthful(r)
+		count[fmt.Sprint(r.status, " ", r.outcome, " ", r.reason)]++
+	}
+	t.Log(count)
+	require.NotZero(t, count["200 ok "])
+	for name := range f.daemons {
+		f.awaitUpstreams(name, upstreamNames...)
+	}
+}
