daemon: the refusal of an unconfirmed claim arrives before the deadline

Cause: without a quorum a claim was given up at the deadline, when the entrance had already reported "504 unknown deadline" for a booking that did not run. Change: a quarter of the remaining time, at most 250 ms, is kept for the refusal. Result: TestClaimsWithoutQuorum failed before and passes twice; go test ./daemon passes. Conclusion: callers get not-run, claims-unavailable.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -16,6 +16,10 @@
 	// storedAnswerBytes is the largest answer that a claim keeps.
 	storedAnswerBytes = 16 << 10
 
+	// claimRefusalTime is kept from the deadline for the refusal of a request
+	// that got no claim. Without it the entrance would report an unknown outcome
+	// at the deadline, before the refusal arrives.
+	claimRefusalTime = 250 * time.Millisecond
 	// Finishing and releasing claims is repeated in the background, because
 	// the group that stores them may be electing a leader.
 	claimCallTimeout    = 5 * time.Second
@@ -82,9 +86,12 @@
 		return nil, nil, chain.NewFailure(chain.NotRun, chain.ReasonClaimsUnavailable, "no claim group is configured")
 	}
 	in.d.metrics.claims.Add(1)
+	remaining := in.peer.context.Remaining(in.d.cfg.Now())
+	ctx, cancel := context.WithTimeout(ctx, remaining-min(remaining/4, claimRefusalTime))
+	defer cancel()
 	response, err := in.d.cfg.Claims.Claim(ctx, &api.ClaimRequest{
 		Key: c.key, Claimant: c.claimant, Fingerprint: in.fingerprint(),
-		RemainingMs: max(in.peer.context.Remaining(in.d.cfg.Now()).Milliseconds(), 1),
+		RemainingMs: max(remaining.Milliseconds(), 1),
 	})
 	if err == nil {
 		return c, response, nil
