relay: measure the processor time of relays apart from daemons

Cause: BenchmarkFeed gave the time of the whole process, so the cost of a relay by subscribers was not known. Change: relays and daemons of the benchmark run under profiler labels, and the phase at rest is profiled; its processor time is reported by role. Bursts and restarts are not divided by role.

--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"runtime"
@@ -26,7 +27,9 @@
 // BenchmarkFeed measures traffic and CPU of the feed at one availability zone
 // with three relays, for several numbers of subscribers without a filter. The
 // other upstreams are injected into the relays. CPU is that of the whole
-// process: daemons, relays and control together. Run it with -benchtime=1x.
+// process: daemons, relays and control together. At rest it is also given by
+// role: the three relays of the zone, its daemons, and all else, which includes
+// garbage collection. Run it with -benchtime=1x.
 func BenchmarkFeed(b *testing.B) {
 	for _, n := range []int{0, 100, 200, 400, 950} {
 		b.Run(fmt.Sprintf("subscribers=%d", n), func(b *testing.B) {
@@ -57,16 +60,24 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	for i, z := range zones {
-		z.startRelays(b)
+		if z == own {
+			as("relay", func() { z.startRelays(b) })
+		} else {
+			z.startRelays(b)
+		}
 		for _, r := range z.running {
 			go injectMembers(r, i, n, stop)
 		}
 	}
-	daemons := startAll(b, own, n, source.Version())
+	var daemons []*testDaemon
+	as("daemon", func() { daemons = startAll(b, own, n, source.Version()) })
 	time.Sleep(feed.CompleteAfter + 3*time.Second) // measure at rest, not during the start
 	m := measure(own)
-	time.Sleep(restTime)
+	cpu := cpuByRole(b, func() { time.Sleep(restTime) })
 	m.report(b, "rest", n)
+	for role, d := range cpu {
+		b.ReportMetric(float64(d.Microseconds())/restTime.Seconds(), "rest-"+cmp.Or(role, "other")+"-cpu-us/s")
+	}
 
 	m = measure(own)
 	burst(b, source, daemons)
