--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -122,6 +122,12 @@
 	p.cmd = nil
 }
 
+// restart starts a killed process again.
+func (p *process) restart() {
+	p.kill()
+	p.run()
+}
+
 func (p *process) signal(s syscall.Signal) {
 	require.NoError(p.t, p.cmd.Process.Signal(s))
 }
