logging, docs: every line has an event, all events are listed

Cause: some lines named their event in msg, others in event, and no page listed them. Change: the message of a line is written as event; docs/reference/logs.md lists all events and their meaning; a test compares the page with the code. Measured: docs, logging and daemon tests pass. Conclusion: an operator finds each line on one page.

--- a/docs/reference_test.go
+++ b/docs/reference_test.go
@@ -111,3 +111,27 @@
 	}
 	return false
 }
+
+// TestLogEventsAreListed guards against a log line that an operator cannot look
+// up.
+func TestLogEventsAreListed(t *testing.T) {
+	text := page(t, "logs.md")
+	event := regexp.MustCompile(`(?:Str\("event", |\bMsg\(|\brecord\(|\bdecision\()"([^"]+)"`)
+	found := 0
+	for _, dir := range []string{"daemon", "control", "relay", "secure", "process"} {
+		files, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
+		require.NoError(t, err)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for _, m := range event.FindAllStringSubmatch(string(source), -1) {
+				found++
+				require.Contains(t, text, "`"+m[1]+"`", file)
+			}
+		}
+	}
+	require.Greater(t, found, 40)
+}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -34,7 +34,7 @@
 	buf := appendPair((*pooled)[:0], "time", args.Time)
 	buf = appendPair(buf, "level", args.Level)
 	if args.Message != "" {
-		buf = appendPair(buf, "msg", args.Message)
+		buf = appendPair(buf, "event", args.Message)
 	}
 	for _, kv := range args.KeyValues {
 		buf = appendPair(buf, kv.Key, kv.Value)
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -15,7 +15,7 @@
 	New(&buf).Info().Str("path", "/a b\nlevel=error").Int("n", 3).Msg("request refused")
 	line := buf.String()
 	require.Equal(t, 1, strings.Count(line, "\n"))
-	require.Contains(t, line, `msg="request refused"`)
+	require.Contains(t, line, `event="request refused"`)
 	require.Contains(t, line, `path="/a b\nlevel=error"`)
 	require.Contains(t, line, "n=3")
 }
