daemon: critical calls below the entrance are not shed by the level

Ruled out: the claims (no unknown or unavailable answer) and the entrance (1 refusal). Change: at a gate, a critical call below the first service counts as the highest priority; new critical requests are still refused at the entrance by the reported levels.

--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -89,10 +89,22 @@
 	return failure
 }
 
+// gatePriority is the priority at this gate. A critical call below the first
+// service gets the highest one: a handler above it has run already, so its
+// refusal would end a booking whose key cannot be used again, while new
+// critical requests are still refused at the entrance by the reported levels.
+func (in *inbound) gatePriority() chain.Priority {
+	c := in.peer.context
+	if c.Depth > 0 && c.Priority.Class() == chain.Critical {
+		return chain.MaxPriority - 1
+	}
+	return c.Priority
+}
+
 // admit waits at the gate.
 func (in *inbound) admit(ctx context.Context) (*ticket, time.Duration, *chain.Failure) {
 	ticket, after, failure := in.gate.enter(ctx, admit.Request{
-		Priority: in.peer.context.Priority,
+		Priority: in.gatePriority(),
 		Deadline: in.peer.context.Deadline,
 		Stream:   in.route.Body == declaration.BodyStream,
 		Route:    in.route.Name,
--- a/daemon/policy_test.go
+++ b/daemon/policy_test.go
@@ -193,3 +193,19 @@
 	client = &tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool}
 	return server, client
 }
+
+// TestGatePriority guards against critical calls that are shed below a handler
+// that has run, and against other calls that gain priority on their way down.
+func TestGatePriority(t *testing.T) {
+	for _, class := range []chain.Class{chain.Sheddable, chain.Default, chain.Critical} {
+		for _, depth := range []int{0, 1} {
+			priority := chain.NewPriority(class, "id")
+			in := &inbound{peer: peerRequest{context: chain.Context{Priority: priority, Depth: depth}}}
+			want := priority
+			if class == chain.Critical && depth > 0 {
+				want = chain.MaxPriority - 1
+			}
+			require.Equal(t, want, in.gatePriority(), "%s at depth %d", class, depth)
+		}
+	}
+}
