integration: the upload of the planned stop outlasts the drain delay

Cause: a daemon that cut off what was in flight 2 s after SIGTERM passed the smoke test, because the upload ended within those 2 s. Change: the upload goes on until the entrance of the stopping daemon has stopped listening. Measured: with that break (a limit of 1 ms on the wait for requests in flight) the test passed before and fails now; TestDrainWithSlowUpload of package daemon fails with it too. Without the break the smoke test passes (8.4 s). Conclusion: the planned stop is proved with real processes.

--- a/integration/smoke_test.go
+++ b/integration/smoke_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -178,6 +179,15 @@
 		status, outcome, _ := get(d.daemons["front"].entrance, "/deep/look")
 		return status == http.StatusServiceUnavailable && outcome == "not-run"
 	})
+	// The upload outlasts the time for which the entrance goes on routing: only
+	// from then on does the process wait for nothing but what is in flight.
+	until(t, "an entrance that has stopped listening", func() bool {
+		conn, err := net.Dial("tcp", deep.entrance)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
 	_, err := io.WriteString(u.sender, uploadPart)
 	require.NoError(t, err)
 	require.NoError(t, u.sender.Close())
