--- a/cmd/bilberrydeck/control.go
+++ b/cmd/bilberrydeck/control.go
@@ -17,21 +17,11 @@
 	if err := parseFlags(f, args, 0, 0); err != nil {
 		return err
 	}
-	if *file == "" {
-		return usagef("-settings is missing")
-	}
-	s, warnings, err := settings.LoadControl(*file)
-	if err != nil {
-		return err
-	}
-	logger, end, err := process.OpenLog(s.Log, e.stderr)
+	s, logger, end, err := openSettings(e, *file, settings.LoadControl, func(s settings.Control) settings.Log { return s.Log })
 	if err != nil {
 		return err
 	}
 	defer end()
-	for _, w := range warnings {
-		logger.Warn().Msg(w.String())
-	}
 	ctx, forced, stop := stopSignals(ctx)
 	defer stop()
 	release := context.AfterFunc(forced, func() { os.Exit(exitFailed) })
--- a/cmd/bilberrydeck/daemon.go
+++ b/cmd/bilberrydeck/daemon.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/bilberrydeck/bilberrydeck/daemon"
+	"github.com/bilberrydeck/bilberrydeck/logging"
 	"github.com/bilberrydeck/bilberrydeck/process"
 	"github.com/bilberrydeck/bilberrydeck/settings"
 )
@@ -20,27 +21,39 @@
 	if err := parseFlags(f, args, 0, 0); err != nil {
 		return err
 	}
-	if *file == "" {
-		return usagef("-settings is missing")
-	}
-	s, warnings, err := settings.LoadDaemon(*file)
-	if err != nil {
-		return err
-	}
-	logger, end, err := process.OpenLog(s.Log, e.stderr)
+	s, logger, end, err := openSettings(e, *file, settings.LoadDaemon, func(s settings.Daemon) settings.Log { return s.Log })
 	if err != nil {
 		return err
 	}
 	defer end()
-	for _, w := range warnings {
-		logger.Warn().Msg(w.String())
-	}
 	daemon.TuneMemory()
 	ctx, force, stop := stopSignals(ctx)
 	defer stop()
 	return process.RunDaemon(ctx, force, s, logger)
 }
 
+// openSettings loads the settings file of a process and opens its log, to which
+// the warnings about the settings go. The returned function closes the log.
+func openSettings[S any](e env, file string, load func(string) (S, settings.Problems, error),
+	logOf func(S) settings.Log) (S, *logging.Logger, func(), error) {
+	var none S
+	if file == "" {
+		return none, nil, nil, usagef("-settings is missing")
+	}
+	s, warnings, err := load(file)
+	if err != nil {
+		return none, nil, nil, err
+	}
+	logger, end, err := process.OpenLog(logOf(s), e.stderr)
+	if err != nil {
+		return none, nil, nil, err
+	}
+	for _, w := range warnings {
+		logger.Warn().Msg(w.String())
+	}
+	return s, logger, end, nil
+}
+
 // stopSignals returns a context that ends at the first SIGTERM or interrupt,
 // and one that ends at the second.
 func stopSignals(parent context.Context) (planned, forced context.Context, stop func()) {
