--- a/cmd/bilberrydeck/status.go
+++ b/cmd/bilberrydeck/status.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -19,8 +21,8 @@
 func runStatus(ctx context.Context, e env, args []string) error {
 	f := newFlags(e, "status", "[-json] [-controls A,B | -daemon ADDR]",
 		"Prints what each control replica knows of its groups and of the daemons, or the\n"+
-			"status of one daemon, asked at its admin listener. Fails if a replica does not\n"+
-			"answer.",
+			"status and metrics of one daemon, asked at its admin listener. Fails if a replica\n"+
+			"does not answer.",
 		"status -controls 10.20.11.10:7100,10.20.21.10:7100,10.20.31.10:7100",
 		"status -daemon 127.0.0.1:7003 -json")
 	operator := addOperatorFlags(f)
@@ -37,33 +39,75 @@
 	return controlStatus(ctx, e, operator, *asJSON)
 }
 
+// daemonReport is what `status -daemon -json` prints.
+type daemonReport struct {
+	daemon.Status
+	Metrics map[string]json.RawMessage `json:"metrics"`
+}
+
 func daemonStatus(ctx context.Context, e env, address string, asJSON bool) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
-	if err != nil {
-		return usagef("-daemon %s is not an address", address)
-	}
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
+	var report daemonReport
+	if err := fetchJSON(ctx, address, "/status", &report.Status); err != nil {
 		return err
 	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return errors.Newf("the daemon answered %s", answer.Status)
+	var vars struct {
+		Daemon map[string]json.RawMessage `json:"bilberrydeck"`
 	}
-	var s daemon.Status
-	if err := json.NewDecoder(io.LimitReader(answer.Body, 1<<20)).Decode(&s); err != nil {
-		return errors.Wrap(err, "reading the daemon's status")
+	if err := fetchJSON(ctx, address, "/debug/vars", &vars); err != nil {
+		return err
 	}
+	report.Metrics = vars.Daemon
 	if asJSON {
-		return printJSON(e, s)
+		return printJSON(e, report)
 	}
+	s := report.Status
 	fmt.Fprintf(e.stdout, "daemon %s of %s in %s (%s): %s\n", s.ID, s.Service, s.AvailabilityZone, s.Region, s.State)
 	fmt.Fprintf(e.stdout, "upstream %s, unhealthy %t\n", s.Upstream, s.Unhealthy)
 	fmt.Fprintf(e.stdout, "configuration version %d, confirmed %t\n", s.ConfigurationVersion, s.Confirmed)
 	fmt.Fprintf(e.stdout, "gate: level %d, limit %d, in flight %d, queued %d\n", s.Level, s.Limit, s.InFlight, s.Queued)
+	printMetrics(e, report.Metrics)
 	return nil
 }
 
+// maxAnswer bounds what is read from a daemon, in bytes.
+const maxAnswer = 1 << 20
+
+// fetchJSON asks the admin listener of a daemon.
+func fetchJSON(ctx context.Context, address, path string, into any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return usagef("-daemon %s is not an address", address)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return errors.Newf("the daemon answered %s to %s", answer.Status, path)
+	}
+	err = json.NewDecoder(io.LimitReader(answer.Body, maxAnswer)).Decode(into)
+	return errors.Wrapf(err, "reading the daemon's answer to %s", path)
+}
+
+// printMetrics prints one line for each value. Names and units are in the
+// reference of requests.
+func printMetrics(e env, metrics map[string]json.RawMessage) {
+	w := tabwriter.NewWriter(e.stdout, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "\nMETRIC\tVALUE")
+	for _, name := range slices.Sorted(maps.Keys(metrics)) {
+		var parts map[string]json.RawMessage
+		if json.Unmarshal(metrics[name], &parts) != nil || parts == nil {
+			fmt.Fprintf(w, "%s\t%s\n", name, metrics[name])
+			continue
+		}
+		for _, part := range slices.Sorted(maps.Keys(parts)) {
+			fmt.Fprintf(w, "%s.%s\t%s\n", name, part, parts[part])
+		}
+	}
+}
+
 // replicaAnswer is the status that one replica gave.
 type replicaAnswer struct {
 	Address string          `json:"address"`
--- a/integration/smoke_test.go
+++ b/integration/smoke_test.go
@@ -81,6 +81,8 @@
 	require.Equal(t, 0, code, errs)
 	require.Contains(t, out, "daemon daemon-front of front in south-a (south): serving")
 	require.Contains(t, out, "configuration version 2, confirmed true")
+	require.Regexp(t, `entrance_requests +[1-9]`, out)
+	require.Regexp(t, `gate\.limit +[1-9]`, out)
 }
 
 // metrics compares the names of the metrics with the reference page.
