control, core: groups that find and repair themselves from seeds

Cause: a group was formed from configured peers and repaired by an operator's command. On the users' platform a process knows three seeds and nothing else. Ruled out: founding by three seeds at once (one of them down would block the first start); a founder without the first-start mark (an empty replica that comes back could form a second group); replacement after mere silence (a freeze looks the same).

--- a/control/config.go
+++ b/control/config.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"context"
 	"crypto/tls"
 	"io"
 	"math/rand/v2"
@@ -41,17 +42,26 @@
 	Peers map[uint64]string
 	// Join starts a replica that waits to be added by ReplaceReplica. A
 	// replica that lost its disk must start this way, under a new id.
-	Join          bool
+	Join bool
+	// Seeded replaces ReplicaID, Peers and Join where replicas find each other.
+	Seeded        *Seeded
 	DataDirectory string
-	ClaimShards   int // number of claim groups, the same on all replicas and for good
+	ClaimShards   int // number of claim groups, the same on all replicas and for good; 0 only with Seeded
 
-	ServerTLS *tls.Config // nil permits loopback addresses only
-	ClientTLS *tls.Config // nil permits loopback addresses only
+	ServerTLS *tls.Config // nil permits loopback addresses only, unless Plaintext is set
+	ClientTLS *tls.Config // nil permits loopback addresses only, unless Plaintext is set
+	// Plaintext permits other addresses without TLS, for networks that keep
+	// strangers out by other means.
+	Plaintext bool
+	// Dialer opens the connections to other replicas; nil means the one of gRPC.
+	Dialer func(ctx context.Context, address string) (net.Conn, error)
 
 	Logger            *log.Logger // nil discards all lines
 	Clock             func() time.Time
 	Seed              uint64        // must differ at each start; 0 means a random one
 	TickInterval      time.Duration // 0 means 50 ms
+	HeartbeatTicks    int           // ticks between heartbeat rounds; 0 takes the default of the core
+	ElectionTicks     int           // minimum election timeout in ticks; 0 takes the default of the core
 	SnapshotThreshold uint64        // applied entries between snapshots; 0 means 10,000
 
 	Validate       state.Validator // checks a resulting set of declarations; nil accepts all
@@ -69,6 +79,25 @@
 	Register func(grpc.ServiceRegistrar)
 }
 
+// Seeded configures replicas that know only a few seeds. They found a group at
+// the first start of the system, let newcomers join it, and replace lost
+// replicas on their own.
+type Seeded struct {
+	// Seeds are gRPC addresses of replicas, this one possibly among them. At the
+	// first start of the system all replicas have the same seeds.
+	Seeds []string
+	// FirstStart tells that the whole system starts for the first time. Only
+	// then may a group be founded, by the replica whose address is the lowest
+	// seed.
+	FirstStart       bool
+	AvailabilityZone string
+	Losses           int // replicas that may be lost at once
+}
+
+// quorumSize is the number of voters without which no change is accepted: with
+// fewer, the loss of Losses disks could lose it.
+func (s *Seeded) quorumSize() int { return 2*s.Losses + 1 }
+
 // Defaults. A heartbeat round starts every other tick and the election timeout
 // is 10 to 20 ticks, so with 50 ms a lost leader is replaced within about 1 s
 // and a confirmation is well below the 2 s after which subscribers move.
@@ -113,18 +142,30 @@
 
 func (c *Config) check() error {
 	switch {
+	case c.DataDirectory == "":
+		return &ConfigError{"data directory is missing"}
+	case c.Seeded != nil:
+		return c.Seeded.check()
 	case c.ReplicaID == 0:
 		return &ConfigError{"replica id must not be 0"}
 	case c.ClaimShards < 1:
 		return &ConfigError{"claim_shards must be at least 1"}
-	case c.DataDirectory == "":
-		return &ConfigError{"data directory is missing"}
 	case !c.Join && c.Peers[c.ReplicaID] == "":
 		return &ConfigError{"peers must include this replica"}
 	}
 	return nil
 }
 
+func (s *Seeded) check() error {
+	switch {
+	case len(s.Seeds) == 0:
+		return &ConfigError{"there are no seeds"}
+	case s.Losses < 0:
+		return &ConfigError{"the number of losses is negative"}
+	}
+	return nil
+}
+
 // requireLoopback enforces that a process without TLS is not reachable from
 // other VMs.
 func requireLoopback(address net.Addr) error {
--- a/control/founding.go
+++ b/control/founding.go
@@ -27,6 +27,9 @@
 }
 
 func (s *Server) founder() bool {
+	if s.cfg.Seeded != nil {
+		return s.cfg.Seeded.FirstStart && s.self.Address == slices.Min(s.cfg.Seeded.Seeds)
+	}
 	for id := range s.cfg.Peers {
 		if id < s.cfg.ReplicaID {
 			return false
@@ -75,6 +78,8 @@
 	return s.resumeFounding()
 }
 
+// gatherVoters returns the first replica set. A seeded group starts with its
+// founder alone and grows by those who join it.
 func (s *Server) gatherVoters(ctx context.Context) ([]*api.ReplicaRef, error) {
 	voters := []*api.ReplicaRef{s.self}
 	for id, address := range s.cfg.Peers {
@@ -139,10 +144,20 @@
 		return nil
 	}
 	for _, g := range s.groups {
-		if v := g.view.Load(); v == nil || v.status.Commit == 0 {
+		if v := g.view.Load(); v == nil || v.status.Commit == 0 || !s.enoughVoters(v) {
 			return &FormingError{Group: g.id}
 		}
 	}
 	s.allFormed.Store(true)
 	return nil
 }
+
+// enoughVoters reports whether a seeded group has grown to the size that bears
+// the promised losses.
+func (s *Server) enoughVoters(v *view) bool {
+	if s.cfg.Seeded == nil {
+		return true
+	}
+	set := v.status.Set
+	return v.status.SetCommitted && len(set.GetOldVoters()) == 0 && len(set.GetVoters()) >= s.cfg.Seeded.quorumSize()
+}
--- a/control/group.go
+++ b/control/group.go
@@ -33,9 +33,9 @@
 	machineMu sync.RWMutex // held for writing by the loop while it applies
 	machine   Machine
 
-	inbox        chan *api.ReplicaMessage
-	proposals    chan *proposal
-	replacements chan *replacement
+	inbox     chan *api.ReplicaMessage
+	proposals chan *proposal
+	changes   chan *setChange
 
 	waiting  map[uint64]waiter // by log index
 	snapshot uint64            // index of the newest snapshot
@@ -73,10 +73,10 @@
 	done chan result
 }
 
-type replacement struct {
-	oldID       uint64
-	replacement *api.ReplicaRef
-	done        chan error // buffered
+// setChange is a change of the replica set, executed by the loop.
+type setChange struct {
+	propose func(*raft.Raft) error
+	done    chan error // buffered
 }
 
 func (s *Server) openGroup(id uint32) (*group, error) {
@@ -87,11 +87,11 @@
 	}
 	g := &group{
 		id: id, server: s, log: log, machine: s.cfg.Machine(id),
-		inbox:        make(chan *api.ReplicaMessage, inboxLimit),
-		proposals:    make(chan *proposal, proposalLimit),
-		replacements: make(chan *replacement),
-		waiting:      map[uint64]waiter{},
-		steps:        make(chan func() error),
+		inbox:     make(chan *api.ReplicaMessage, inboxLimit),
+		proposals: make(chan *proposal, proposalLimit),
+		changes:   make(chan *setChange),
+		waiting:   map[uint64]waiter{},
+		steps:     make(chan func() error),
 	}
 	g.empty.Store(stored.Empty())
 	if err := g.start(stored); err != nil {
@@ -112,6 +112,7 @@
 	cfg := g.server.cfg
 	g.raft = raft.New(raft.Config{
 		Self: g.server.self, Seed: cfg.Seed + uint64(g.id), Trailing: trailingEntries,
+		HeartbeatTicks: cfg.HeartbeatTicks, ElectionTicks: cfg.ElectionTicks,
 		HardState: stored.HardState, Snapshot: stored.Snapshot, Entries: stored.Entries,
 	})
 	g.publish()
@@ -148,9 +149,8 @@
 			g.raft.Step(g.server.cfg.Clock(), m)
 		case p := <-g.proposals:
 			g.propose(p)
-		case r := <-g.replacements:
-			_, _, err := g.raft.ProposeReplace(r.oldID, r.replacement)
-			r.done <- err
+		case c := <-g.changes:
+			c.done <- c.propose(g.raft)
 		case step := <-g.steps:
 			if err := step(); err != nil {
 				return err
--- a/control/replace.go
+++ b/control/replace.go
@@ -191,15 +191,23 @@
 }
 
 func (g *group) startReplacement(ctx context.Context, oldID uint64, ref *api.ReplicaRef) error {
-	q := &replacement{oldID, ref, make(chan error, 1)}
+	return g.changeSet(ctx, func(r *raft.Raft) error {
+		_, _, err := r.ProposeReplace(oldID, ref)
+		return err
+	})
+}
+
+// changeSet executes a proposal of a new replica set in the loop.
+func (g *group) changeSet(ctx context.Context, propose func(*raft.Raft) error) error {
+	c := &setChange{propose, make(chan error, 1)}
 	select {
-	case g.replacements <- q:
+	case g.changes <- c:
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-g.server.stopped:
 		return &raft.NotLeaderError{}
 	}
-	return <-q.done
+	return <-c.done
 }
 
 // replaced reports whether the replacement is complete and committed.
--- a/control/server.go
+++ b/control/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"net"
@@ -35,7 +36,8 @@
 	transport *transport
 	source    *ConfigSource
 	reports   reports
-	allFormed atomic.Bool   // each group has had a committed entry
+	allFormed atomic.Bool // each group has had a committed entry
+	joiners   joiners
 	stopped   chan struct{} // closed when Run returns
 
 	api.UnimplementedControlServer
@@ -72,7 +74,11 @@
 		}
 		s.listener = l
 	}
-	if s.cfg.ServerTLS == nil || s.cfg.ClientTLS == nil {
+	switch {
+	case s.cfg.ServerTLS != nil && s.cfg.ClientTLS != nil:
+	case s.cfg.Plaintext:
+		s.cfg.Logger.Warn().Str("address", s.Addr()).Msg("connections between replicas are not encrypted, as configured")
+	default:
 		if err := requireLoopback(s.listener.Addr()); err != nil {
 			_ = s.listener.Close() // the first error is reported
 			return err
@@ -90,13 +96,27 @@
 	return hex.EncodeToString(b[:])
 }
 
+// newReplicaID draws the id of a replica that was not given one. 63 random bits
+// make a second replica of the same id practically impossible.
+func newReplicaID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, as documented
+	return binary.LittleEndian.Uint64(b[:])>>1 | 1
+}
+
 func (s *Server) open() error {
 	fresh := storage.Identity{Replica: s.cfg.ReplicaID, DiskID: newDiskID(), ClaimShards: s.cfg.ClaimShards}
-	d, err := storage.OpenDirectory(s.cfg.FS, s.cfg.DataDirectory, fresh)
+	openDirectory := storage.OpenDirectory
+	if s.cfg.Seeded != nil {
+		fresh.Replica = newReplicaID()
+		openDirectory = storage.OpenOwnDirectory
+	}
+	d, err := openDirectory(s.cfg.FS, s.cfg.DataDirectory, fresh)
 	if err != nil {
 		return err
 	}
 	s.directory = d
+	s.cfg.ReplicaID = d.Identity.Replica
 	// With another number of claim groups a key would move to a group that
 	// does not know its claim, and its work could run twice.
 	if d.Identity.ClaimShards != s.cfg.ClaimShards {
@@ -104,6 +124,9 @@
 	}
 	address := cmp.Or(s.cfg.AdvertiseAddress, s.cfg.Peers[s.cfg.ReplicaID], s.Addr())
 	s.self = &api.ReplicaRef{Id: s.cfg.ReplicaID, DiskId: d.Identity.DiskID, Address: address}
+	if s.cfg.Seeded != nil {
+		s.self.AvailabilityZone = s.cfg.Seeded.AvailabilityZone
+	}
 	if err := s.openGroups(); err != nil {
 		return err
 	}
@@ -160,6 +183,14 @@
 		return err
 	}
 	var loops sync.WaitGroup
+	if s.cfg.Seeded != nil {
+		loops.Go(func() { s.keepRoster(ctx) })
+		loops.Go(func() {
+			if err := s.keepMembership(ctx); err != nil {
+				cancel(err)
+			}
+		})
+	}
 	for _, g := range s.groups {
 		loops.Go(func() {
 			if err := g.run(ctx); err != nil {
--- a/control/service.go
+++ b/control/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -10,6 +11,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/control/client"
+	"github.com/bilberrydeck/bilberrydeck/core/raft"
 )
 
 // Publish proposes a change of the configuration.
@@ -73,6 +75,36 @@
 	return nil
 }
 
+// Execute replicates a command of the first group and decodes its result. The
+// error has a gRPC status: FailedPrecondition with a NotLeader detail,
+// Unavailable while the group is formed, Aborted if the outcome is unknown.
+func (s *Server) Execute(ctx context.Context, cmd, res proto.Message) error {
+	if err := s.formed(); err != nil {
+		return s.grpcError(0, err)
+	}
+	return s.execute(ctx, 0, cmd, res)
+}
+
+// Read gives access to the machine of the first group, as this replica has
+// applied it. The function must not keep the machine.
+func (s *Server) Read(read func(Machine)) {
+	g := s.configuration()
+	g.machineMu.RLock()
+	defer g.machineMu.RUnlock()
+	read(g.machine)
+}
+
+// View describes the first group as this replica sees it.
+func (s *Server) View() raft.Status { return s.configuration().view.Load().status }
+
+// Self is this replica.
+func (s *Server) Self() *api.ReplicaRef { return s.self }
+
+// ConfirmationAge returns an upper bound of the time since a leader confirmed
+// with a quorum that nothing newer than what Read shows was committed; false if
+// there was no confirmation since the start.
+func (s *Server) ConfirmationAge() (time.Duration, bool) { return s.configuration().age() }
+
 // Status describes this replica as it sees itself.
 func (s *Server) Status(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
 	res := &api.StatusResponse{Replica: s.cfg.ReplicaID, Version: s.source.Version(), Daemons: s.reports.list(s.cfg.Clock())}
--- a/control/source.go
+++ b/control/source.go
@@ -28,7 +28,7 @@
 
 // update runs in the loop of group 0 after entries were applied.
 func (c *ConfigSource) update(machine Machine) {
-	m, ok := machine.(configurationMachine)
+	m, ok := machine.(interface{ Version() uint64 })
 	if !ok {
 		return
 	}
--- a/control/transport.go
+++ b/control/transport.go
@@ -156,7 +156,7 @@
 	if instead, ok := cfg.Dial[address]; ok {
 		address = instead
 	}
-	return grpc.NewClient(address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(transportCredentials),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second, PermitWithoutStream: true}),
@@ -164,7 +164,11 @@
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: time.Second,
 		}),
-	)
+	}
+	if cfg.Dialer != nil {
+		options = append(options, grpc.WithContextDialer(cfg.Dialer))
+	}
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 // Deliver takes the replication messages of one peer.
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/bilberrydeck/bilberrydeck/api"
+import (
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
 
 type progressState uint8
 
@@ -25,9 +29,10 @@
 	snapshotReplies int // heartbeat replies since the snapshot was sent
 
 	active         bool
-	acked          uint64 // largest heartbeat sequence acknowledged
-	token          uint64 // of the reply that acknowledged it
-	matchAtReply   uint64 // match at the previous heartbeat reply
+	heard          time.Time // last message from the replica, or the start of this leadership
+	acked          uint64    // largest heartbeat sequence acknowledged
+	token          uint64    // of the reply that acknowledged it
+	matchAtReply   uint64    // match at the previous heartbeat reply
 	firstUnmatched uint64
 }
 
@@ -64,7 +69,7 @@
 	}
 	for _, ref := range members(set) {
 		if r.progress[ref.Id] == nil {
-			r.progress[ref.Id] = &progress{ref: ref, next: r.log.last() + 1, active: true}
+			r.progress[ref.Id] = &progress{ref: ref, next: r.log.last() + 1, active: true, heard: r.now}
 		}
 	}
 	if p := r.progress[r.cfg.Self.Id]; p != nil {
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -224,6 +224,7 @@
 	default:
 		if p := r.progress[m.From.Id]; p != nil && r.role == Leader {
 			p.active = true
+			p.heard = r.now
 			r.handleReply(p, m)
 		}
 	}
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -73,11 +73,12 @@
 	Leader          *api.ReplicaRef // nil if unknown
 	First, Last     uint64          // first and last index in the log
 	Commit, Applied uint64
-	Set             *api.ReplicaSet   // nil if unknown
-	SetCommitted    bool              // the set in effect is committed
-	Match           map[uint64]uint64 // on the leader: durable index by replica id
-	Foreign         uint64            // messages ignored for naming another replica or disk
-	Elections       uint64            // elections this replica started
+	Set             *api.ReplicaSet      // nil if unknown
+	SetCommitted    bool                 // the set in effect is committed
+	Match           map[uint64]uint64    // on the leader: durable index by replica id
+	Heard           map[uint64]time.Time // on the leader: last message by replica id, at the earliest the start of its leadership
+	Foreign         uint64               // messages ignored for naming another replica or disk
+	Elections       uint64               // elections this replica started
 }
 
 // Status returns the current view.
@@ -89,8 +90,10 @@
 	}
 	if r.role == Leader {
 		s.Match = map[uint64]uint64{}
+		s.Heard = map[uint64]time.Time{}
 		for id, p := range r.progress {
 			s.Match[id] = p.match
+			s.Heard[id] = p.heard
 		}
 	}
 	return s
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,117 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+)
+
+var start = time.Unix(1000, 0)
+
+func ref(id uint64, address, zone string) *api.ReplicaRef {
+	return &api.ReplicaRef{Id: id, DiskId: "disk", Address: address, AvailabilityZone: zone}
+}
+
+// fiveVoters is a settled group of five voters in zones a to e, all heard now,
+// led by replica 1.
+func fiveVoters() View {
+	v := View{Now: start, Self: 1, Settled: true, Set: &api.ReplicaSet{}, Heard: map[uint64]time.Time{}, Joined: map[uint64]time.Time{}}
+	for i, zone := range []string{"a", "b", "c", "d", "e"} {
+		id := uint64(i + 1)
+		v.Set.Voters = append(v.Set.Voters, ref(id, zone+":1", zone))
+		v.Heard[id] = start
+	}
+	return v
+}
+
+func (v View) candidate(r *api.ReplicaRef) View {
+	v.Candidates = append(v.Candidates, Candidate{Ref: r, AskedAt: v.Now})
+	return v
+}
+
+// after moves the time on while all replicas but the silent ones are heard.
+func (v View) after(d time.Duration, silent ...uint64) View {
+	v.Now = v.Now.Add(d)
+	for id := range v.Heard {
+		v.Heard[id] = v.Now
+	}
+	for _, id := range silent {
+		v.Heard[id] = start
+	}
+	return v
+}
+
+// TestFreezeReplacesNobody guards against a replacement that a mere freeze or
+// partition causes: the voter still holds the log.
+func TestFreezeReplacesNobody(t *testing.T) {
+	v := fiveVoters()
+	v.Set.Learners = []*api.ReplicaRef{ref(6, "c:2", "c")}
+	v.Heard[6] = start
+	require.Equal(t, None, Next(v.after(30*time.Second, 3), DefaultPolicy(1)).Kind)
+}
+
+// TestLostDiskIsReplacedAtOnce guards the number of copies of the log: a
+// replica at the address of a voter with another disk proves the loss.
+func TestLostDiskIsReplacedAtOnce(t *testing.T) {
+	step := Next(fiveVoters().candidate(ref(9, "b:1", "b")), DefaultPolicy(1))
+	require.Equal(t, Promote, step.Kind)
+	require.Equal(t, uint64(2), step.Replaces)
+	require.Equal(t, uint64(9), step.Ref.Id)
+}
+
+// TestSuccessorReplacesSilentVoter guards the repair after a VM that is gone
+// for good: only its own zone's newcomer takes over, and only after a while.
+func TestSuccessorReplacesSilentVoter(t *testing.T) {
+	v := fiveVoters().after(3*time.Second, 4).candidate(ref(9, "d:2", "d"))
+	require.Equal(t, AddLearner, Next(v, DefaultPolicy(1)).Kind, "the silence may still be a freeze")
+	v.Set.Learners = []*api.ReplicaRef{ref(9, "d:2", "d")}
+	v.Heard[9], v.Joined[9], v.Candidates = v.Now, v.Now, nil
+	v = v.after(3*time.Second, 4)
+	step := Next(v, DefaultPolicy(1))
+	require.Equal(t, Step{Kind: Promote, Ref: v.Set.Learners[0], Replaces: 4, Reason: step.Reason}, step)
+	v.Set.Learners[0].AvailabilityZone = "a"
+	require.Equal(t, None, Next(v, DefaultPolicy(1)).Kind, "a newcomer of another zone replaces nobody yet")
+	step = Next(v.after(2*time.Minute, 4), DefaultPolicy(1))
+	require.Equal(t, uint64(4), step.Replaces, "after long silence any learner may")
+}
+
+// TestGroupGrowsOneByOne guards the founding: one change at a time, and none
+// while a voter is silent, which would raise the quorum for nothing.
+func TestGroupGrowsOneByOne(t *testing.T) {
+	v := fiveVoters()
+	v.Set.Voters = v.Set.Voters[:2]
+	v = v.candidate(ref(7, "a:2", "a")).candidate(ref(8, "c:1", "c"))
+	step := Next(v, DefaultPolicy(1))
+	require.Equal(t, Promote, step.Kind)
+	require.Equal(t, uint64(8), step.Ref.Id, "a zone without a voter comes first")
+	require.Zero(t, step.Replaces)
+	unsettled := v
+	unsettled.Settled = false
+	require.Equal(t, None, Next(unsettled, DefaultPolicy(1)).Kind)
+	late := v.after(3*time.Second, 2)
+	late.Candidates = []Candidate{{Ref: ref(8, "c:1", "c"), AskedAt: late.Now}}
+	require.Equal(t, AddLearner, Next(late, DefaultPolicy(1)).Kind)
+}
+
+// TestStalledPromotionEnds guards against a learner that dies while it catches
+// up: it would block every later change.
+func TestStalledPromotionEnds(t *testing.T) {
+	v := fiveVoters()
+	v.Set.Learners, v.Set.Promoting, v.Set.Replacing = []*api.ReplicaRef{ref(9, "b:1", "b")}, 9, 2
+	v.Heard[9] = start
+	require.Equal(t, None, Next(v.after(time.Second), DefaultPolicy(1)).Kind)
+	step := Next(v.after(10*time.Second, 2, 9), DefaultPolicy(1))
+	require.Equal(t, Drop, step.Kind)
+	require.Equal(t, uint64(9), step.Ref.Id)
+}
+
+// TestSurplusBecomesLearner guards the limit of voters.
+func TestSurplusBecomesLearner(t *testing.T) {
+	require.Equal(t, AddLearner, Next(fiveVoters().candidate(ref(9, "f:1", "f")), DefaultPolicy(1)).Kind)
+	stale := fiveVoters()
+	stale.Candidates = []Candidate{{Ref: ref(9, "f:1", "f"), AskedAt: start.Add(-time.Minute)}}
+	require.Equal(t, None, Next(stale, DefaultPolicy(1)).Kind, "a candidate that no longer asks is gone")
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func table() *Table {
+	return &Table{
+		Number: 3,
+		Routes: []Route{
+			{Name: "all", Host: "shop.example", Prefix: "/", Targets: []Target{{"tarifs", 1}}},
+			{Name: "orders", Host: "shop.example", Prefix: "/orders/", Kind: NonIdempotent, Targets: []Target{{"commandes", 90}, {"tarifs", 10}}},
+			{Name: "old", Host: "shop.example", Prefix: "/orders/old/", Targets: []Target{{"tarifs", 1}}},
+		},
+		Services: []Service{{Name: "tarifs"}, {Name: "commandes"}},
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	m := NewMatcher(table())
+	for path, want := range map[string]string{
+		"/": "all", "/orders": "all", "/orders/": "orders", "/orders/7?x=/orders/old/": "orders", "/orders/old/7": "old", "/orders/oldest": "orders",
+	} {
+		require.Equal(t, want, m.Match("Shop.Example:8300", path).Name, path)
+	}
+	require.Nil(t, m.Match("other.example", "/orders/"))
+}
+
+// TestProblems guards against a table that could not be followed and was
+// accepted nevertheless.
+func TestProblems(t *testing.T) {
+	require.Empty(t, table().Problems())
+	for want, damage := range map[string]func(*Table){
+		"is not listed":       func(t *Table) { t.Routes[0].Targets[0].Service = "photos" },
+		"share host":          func(t *Table) { t.Routes[2].Prefix = "/" },
+		"must be at most":     func(t *Table) { t.Routes[1].Timeout = 11 * time.Minute },
+		"the host is empty":   func(t *Table) { t.Routes[1].Host = "" },
+		"with a slash":        func(t *Table) { t.Routes[1].Prefix = "/orders" },
+		"weight above 0":      func(t *Table) { t.Routes[0].Targets = nil },
+		"is negative":         func(t *Table) { t.Routes[1].Targets[0].Weight = -1 },
+		"is listed twice":     func(t *Table) { t.Services[1].Name = "tarifs" },
+		"service has no name": func(t *Table) { t.Services[1].Name = "" },
+	} {
+		broken := table()
+		damage(broken)
+		require.NotEmpty(t, broken.Problems(), want)
+		require.Contains(t, broken.Problems()[0]+broken.Problems()[len(broken.Problems())-1], want)
+	}
+}
+
+// TestSplitFollowsWeights guards the shares of weighted targets, also over
+// short spans.
+func TestSplitFollowsWeights(t *testing.T) {
+	s := NewSplit([]Target{{"a", 90}, {"b", 10}, {"c", 0}}, 37)
+	for range 5 {
+		count := map[string]int{}
+		for range 100 {
+			count[s.Next()]++
+		}
+		require.Equal(t, map[string]int{"a": 90, "b": 10}, count)
+	}
+}
--- /dev/null
+++ b/core/routing/split.go
@@ -0,0 +1,46 @@
+package routing
+
+import "sync"
+
+// Split distributes the requests of a route among its targets by weight, with
+// smooth weighted round robin: each span of requests comes as close to the
+// weights as whole requests can. It is safe for concurrent use.
+type Split struct {
+	mu      sync.Mutex
+	targets []Target
+	credit  []int
+	total   int
+}
+
+// NewSplit returns a split of the targets. Skip requests are passed over first,
+// so that daemons that start together do not all begin with the same target.
+func NewSplit(targets []Target, skip int) *Split {
+	s := &Split{targets: targets, credit: make([]int, len(targets))}
+	for _, t := range targets {
+		s.total += t.Weight
+	}
+	if s.total > 0 {
+		for range skip % s.total {
+			s.Next()
+		}
+	}
+	return s
+}
+
+// Next returns the service of the next request.
+func (s *Split) Next() string {
+	if len(s.targets) == 1 {
+		return s.targets[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, t := range s.targets {
+		s.credit[i] += t.Weight
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= s.total
+	return s.targets[best].Service
+}
--- a/storage/identity.go
+++ b/storage/identity.go
@@ -34,6 +34,20 @@
 // OpenDirectory locks a data directory and reads its identity. An unused
 // directory gets the identity fresh, which names the replica and a new disk id.
 func OpenDirectory(fs FS, path string, fresh Identity) (*Directory, error) {
+	d, err := OpenOwnDirectory(fs, path, fresh)
+	if err != nil {
+		return nil, err
+	}
+	if d.Identity.Replica != fresh.Replica {
+		_ = d.Close() // the mismatch is reported
+		return nil, &IdentityError{Path: d.Path, Held: d.Identity.Replica, Want: fresh.Replica}
+	}
+	return d, nil
+}
+
+// OpenOwnDirectory is OpenDirectory for a replica whose id is not configured: a
+// used directory keeps the id that it holds.
+func OpenOwnDirectory(fs FS, path string, fresh Identity) (*Directory, error) {
 	if err := fs.MkdirAll(path); err != nil {
 		return nil, &SyncError{Op: "create", Path: path, Err: err}
 	}
@@ -76,9 +90,6 @@
 	if err := json.Unmarshal(content, &d.Identity); err != nil || d.Identity.DiskID == "" {
 		return &CorruptError{Path: name, Reason: "the identity file does not decode"}
 	}
-	if d.Identity.Replica != fresh.Replica {
-		return &IdentityError{Path: d.Path, Held: d.Identity.Replica, Want: fresh.Replica}
-	}
 	return nil
 }
 
