gate: the binding of the admission core is a package of its own

Cause: the request path of listless fleets needs the same gate as the daemon. Ruled out: a second binding beside the first. Change: daemon/gate.go becomes package gate, the codec of load reports moves to core/admit, the typing of ended contexts to core/chain. No change in behaviour.

--- /dev/null
+++ b/core/admit/report.go
@@ -0,0 +1,41 @@
+package admit
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// String writes the report as it travels in a header: level, limit, in flight,
+// queued, and the highest level of the services below.
+func (r Report) String() string {
+	buf := make([]byte, 0, 32)
+	for i, v := range [...]int{int(r.Level), r.Limit, r.InFlight, r.Queued, int(r.Below)} {
+		if i > 0 {
+			buf = append(buf, ',')
+		}
+		buf = strconv.AppendInt(buf, int64(v), 10)
+	}
+	return string(buf)
+}
+
+// ParseReport reads a load report. A malformed one is treated as absent: a
+// report may only lower trust.
+func ParseReport(value string) *Report {
+	var v [5]int
+	for i := range v {
+		field, rest, more := strings.Cut(value, ",")
+		n, err := strconv.ParseUint(field, 10, 31)
+		if err != nil || more != (i < len(v)-1) {
+			return nil
+		}
+		v[i], value = int(n), rest
+	}
+	if v[0] > int(chain.MaxPriority) || v[4] > int(chain.MaxPriority) {
+		return nil
+	}
+	return &Report{
+		Level: chain.Priority(v[0]), Limit: v[1], InFlight: v[2], Queued: v[3], Below: chain.Priority(v[4]),
+	}
+}
--- /dev/null
+++ b/core/attend/attend.go
@@ -0,0 +1,160 @@
+// Package attend decides which control replica a daemon attends: the nearest
+// one that answers and is in touch with a quorum. It performs no I/O.
+package attend
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The periods of the choice.
+const (
+	// SilentAfter is the time without an update after which a session is given
+	// up. Updates come at least once a second.
+	SilentAfter = 1800 * time.Millisecond
+	// StaleAfter is the confirmation age above which a replica counts as cut off
+	// from its quorum. Confirmations come with each heartbeat round.
+	StaleAfter = 1800 * time.Millisecond
+	// returnEvery is how often a daemon that attends a distant replica tries a
+	// nearer one.
+	returnEvery = 5 * time.Second
+	// firstPenalty is how long a replica that failed is passed over at first; it
+	// doubles up to maxPenalty, which bounds how long a recovery goes unnoticed.
+	firstPenalty = 250 * time.Millisecond
+	maxPenalty   = time.Second
+)
+
+// Replica is a control replica that may be attended.
+type Replica struct {
+	Address          string
+	AvailabilityZone string // empty for a seed of which nothing is known yet
+	Region           string
+}
+
+// distance orders replicas by what it costs to reach them.
+type distance uint8
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+	unknown
+)
+
+// Chooser chooses the replica to attend. It is not safe for concurrent use.
+type Chooser struct {
+	zone, region string
+	seeds        []Replica
+	replicas     []Replica
+	random       *rand.Rand
+	failures     map[string]failure
+	attended     string
+	movedAt      time.Time // last time a nearer replica was looked for
+}
+
+type failure struct {
+	count int
+	until time.Time
+}
+
+// New returns a chooser for a daemon at the given place that knows some seeds.
+func New(zone, region string, seeds []string, seed uint64) *Chooser {
+	c := &Chooser{zone: zone, region: region, random: rand.New(rand.NewPCG(seed, 1)), failures: map[string]failure{}}
+	c.SetSeeds(seeds)
+	return c
+}
+
+// SetSeeds replaces the seeds, as after a change of the settings.
+func (c *Chooser) SetSeeds(seeds []string) {
+	c.seeds = nil
+	for _, address := range seeds {
+		c.seeds = append(c.seeds, Replica{Address: address})
+	}
+}
+
+// SetReplicas takes the control replicas that a replica has told.
+func (c *Chooser) SetReplicas(replicas []Replica) { c.replicas = replicas }
+
+// Next chooses a replica. It is empty if there is none at all.
+func (c *Chooser) Next(now time.Time) string {
+	c.attended = ""
+	if best, ok := c.best(now, c.replicas); ok {
+		return c.choose(now, best)
+	}
+	// None that was told works; the seeds of the settings may be newer.
+	if best, ok := c.best(now, c.seeds); ok {
+		return c.choose(now, best)
+	}
+	all := append(slices.Clone(c.replicas), c.seeds...)
+	if len(all) == 0 {
+		return ""
+	}
+	return c.choose(now, slices.MinFunc(all, func(a, b Replica) int {
+		return c.failures[a.Address].until.Compare(c.failures[b.Address].until)
+	}))
+}
+
+func (c *Chooser) choose(now time.Time, r Replica) string {
+	c.attended, c.movedAt = r.Address, now
+	return r.Address
+}
+
+// best returns a random one of the nearest replicas without a recent failure.
+func (c *Chooser) best(now time.Time, from []Replica) (Replica, bool) {
+	var usable []Replica
+	for _, r := range from {
+		if !now.Before(c.failures[r.Address].until) {
+			usable = append(usable, r)
+		}
+	}
+	if len(usable) == 0 {
+		return Replica{}, false
+	}
+	c.random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	return slices.MinFunc(usable, func(a, b Replica) int { return cmp.Compare(c.distance(a), c.distance(b)) }), true
+}
+
+func (c *Chooser) distance(r Replica) distance {
+	switch {
+	case r.AvailabilityZone == "":
+		return unknown
+	case r.AvailabilityZone == c.zone:
+		return sameZone
+	case r.Region == c.region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// Failed notes that a replica could not be attended, fell silent or lost touch
+// with its quorum.
+func (c *Chooser) Failed(now time.Time, address string) {
+	f := c.failures[address]
+	penalty := min(firstPenalty<<min(f.count, 8), maxPenalty)
+	c.failures[address] = failure{f.count + 1, now.Add(penalty)}
+}
+
+// Works notes that a replica answered and is in touch with its quorum.
+func (c *Chooser) Works(address string) { delete(c.failures, address) }
+
+// Nearer reports whether a nearer replica than the attended one should be tried
+// now.
+func (c *Chooser) Nearer(now time.Time) bool {
+	current := unknown
+	for _, r := range c.replicas {
+		if r.Address == c.attended {
+			current = c.distance(r)
+		}
+	}
+	best, ok := c.best(now, c.replicas)
+	if !ok || c.distance(best) >= current {
+		return false
+	}
+	if current != unknown && now.Sub(c.movedAt) < returnEvery {
+		return false
+	}
+	c.movedAt = now
+	return true
+}
--- /dev/null
+++ b/core/attend/attend_test.go
@@ -0,0 +1,60 @@
+package attend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func chooser() *Chooser {
+	c := New("cardiff-a", "south", []string{"seed:1", "seed:2"}, 1)
+	c.SetReplicas([]Replica{{"far:1", "wrexham-a", "north"}, {"near:1", "cardiff-a", "south"}, {"region:1", "swansea-b", "south"}})
+	return c
+}
+
+// TestNearestThatWorks guards against traffic across zones that is paid for:
+// the replica of the own zone comes first, then that of the region.
+func TestNearestThatWorks(t *testing.T) {
+	c := chooser()
+	require.Equal(t, "near:1", c.Next(start))
+	c.Failed(start, "near:1")
+	require.Equal(t, "region:1", c.Next(start))
+	c.Failed(start, "region:1")
+	require.Equal(t, "far:1", c.Next(start))
+	require.False(t, c.Nearer(start.Add(time.Second)))
+	require.True(t, c.Nearer(start.Add(10*time.Second)))
+	require.Equal(t, "near:1", c.Next(start.Add(10*time.Second)))
+	require.False(t, c.Nearer(start.Add(20*time.Second)))
+}
+
+// TestSeedsAreTheLastResort guards a daemon whose known replicas have all been
+// replaced: it starts again from the seeds.
+func TestSeedsAreTheLastResort(t *testing.T) {
+	c := chooser()
+	for _, address := range []string{"near:1", "region:1", "far:1"} {
+		c.Failed(start, address)
+	}
+	require.Contains(t, c.Next(start), "seed")
+	c.Failed(start, "seed:1")
+	c.Failed(start, "seed:2")
+	require.NotEmpty(t, c.Next(start), "with nothing else, the one that failed first is tried again")
+	fresh := New("cardiff-a", "south", []string{"seed:1"}, 1)
+	require.Equal(t, "seed:1", fresh.Next(start))
+	fresh.SetReplicas([]Replica{{"near:1", "cardiff-a", "south"}})
+	require.True(t, fresh.Nearer(start), "a seed is left for a known replica at once")
+	require.Empty(t, New("", "", nil, 1).Next(start))
+}
+
+// TestPenaltyIsBounded guards the time after which a healed partition is noticed.
+func TestPenaltyIsBounded(t *testing.T) {
+	c := chooser()
+	for range 20 {
+		c.Failed(start, "near:1")
+	}
+	require.Equal(t, "near:1", c.Next(start.Add(maxPenalty)))
+	c.Works("near:1")
+	require.Equal(t, "near:1", c.Next(start))
+}
--- a/core/chain/outcome.go
+++ b/core/chain/outcome.go
@@ -1,6 +1,9 @@
 package chain
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+)
 
 // Outcome says what is known of the execution of a call.
 type Outcome uint8
@@ -90,6 +93,15 @@
 	return &Failure{Outcome: o, Reason: r, Message: message, Cause: cause}
 }
 
+// ContextFailure types the end of a context: its deadline passed, or the caller
+// left.
+func ContextFailure(ctx context.Context, outcome Outcome, message string) *Failure {
+	if ctx.Err() == context.DeadlineExceeded {
+		return Wrap(outcome, ReasonDeadline, message, ctx.Err())
+	}
+	return Wrap(outcome, ReasonCancelled, message, ctx.Err())
+}
+
 // Error implements error.
 func (f *Failure) Error() string {
 	if f.Cause != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/retry"
+	"github.com/bilberrydeck/bilberrydeck/gate"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -34,7 +35,7 @@
 	snapshotMu sync.Mutex // orders SetSnapshot and drain; guards targets
 	snapshot   atomic.Pointer[compiled]
 	targets    map[string]*target
-	gate       atomic.Pointer[gate]
+	gate       atomic.Pointer[gate.Gate]
 
 	localMu  sync.Mutex
 	local    atomic.Pointer[localService]
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -15,7 +15,7 @@
 			d.publishUpstreams(c.source, c)
 		}
 		if g := d.gate.Load(); g != nil {
-			g.drain()
+			g.Drain()
 		}
 		d.snapshotMu.Unlock()
 		d.updateState()
--- a/daemon/headers.go
+++ b/daemon/headers.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 )
 
@@ -210,39 +209,6 @@
 	return p, failure
 }
 
-// formatReport writes the load report of a gate: level, limit, in flight,
-// queued, and the highest level of the services below.
-func formatReport(r admit.Report) string {
-	buf := make([]byte, 0, 32)
-	for i, v := range [...]int{int(r.Level), r.Limit, r.InFlight, r.Queued, int(r.Below)} {
-		if i > 0 {
-			buf = append(buf, ',')
-		}
-		buf = strconv.AppendInt(buf, int64(v), 10)
-	}
-	return string(buf)
-}
-
-// parseReport reads a load report. A malformed one is treated as absent: a
-// report may only lower trust.
-func parseReport(value string) *admit.Report {
-	var v [5]int
-	for i := range v {
-		field, rest, more := strings.Cut(value, ",")
-		n, err := strconv.ParseUint(field, 10, 31)
-		if err != nil || more != (i < len(v)-1) {
-			return nil
-		}
-		v[i], value = int(n), rest
-	}
-	if v[0] > int(chain.MaxPriority) || v[4] > int(chain.MaxPriority) {
-		return nil
-	}
-	return &admit.Report{
-		Level: chain.Priority(v[0]), Limit: v[1], InFlight: v[2], Queued: v[3], Below: chain.Priority(v[4]),
-	}
-}
-
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
--- a/daemon/headers_test.go
+++ b/daemon/headers_test.go
@@ -56,12 +56,12 @@
 	f.Add("1,2,3,4,5,6")
 	f.Add("-1,,x,4,9999999999999")
 	f.Fuzz(func(t *testing.T, value string) {
-		r := parseReport(value)
+		r := admit.ParseReport(value)
 		if r == nil {
 			return
 		}
 		require.LessOrEqual(t, r.Level, chain.MaxPriority)
-		require.Equal(t, r, parseReport(formatReport(*r)))
+		require.Equal(t, r, admit.ParseReport(r.String()))
 	})
 }
 
@@ -111,6 +111,6 @@
 // TestReportRoundTrip guards the order of the fields.
 func TestReportRoundTrip(t *testing.T) {
 	r := admit.Report{Level: 130, Limit: 8, InFlight: 3, Queued: 2, Below: 200}
-	require.Equal(t, "130,8,3,2,200", formatReport(r))
-	require.Equal(t, &r, parseReport(formatReport(r)))
+	require.Equal(t, "130,8,3,2,200", r.String())
+	require.Equal(t, &r, admit.ParseReport(r.String()))
 }
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -109,9 +109,9 @@
 }
 
 func (in *inbound) report() string {
-	report := in.gate.report()
+	report := in.gate.Report()
 	report.Below = in.d.below(in.route)
-	return formatReport(report)
+	return report.String()
 }
 
 func unusedText(n int) string { return strconv.Itoa(n) }
--- a/daemon/send.go
+++ b/daemon/send.go
@@ -106,7 +106,7 @@
 		return f
 	}
 	if ctx.Err() != nil {
-		return contextFailure(ctx, outcome, "no answer in time")
+		return chain.ContextFailure(ctx, outcome, "no answer in time")
 	}
 	if written == 0 {
 		return chain.Wrap(outcome, chain.ReasonConnect, "no connection", err)
@@ -149,7 +149,7 @@
 // truncated types the error of reading an answer.
 func truncated(ctx context.Context, err error) *chain.Failure {
 	if ctx.Err() != nil {
-		return contextFailure(ctx, chain.Unknown, "the answer was not complete in time")
+		return chain.ContextFailure(ctx, chain.Unknown, "the answer was not complete in time")
 	}
 	return chain.Wrap(chain.Unknown, chain.ReasonTruncated, "the answer ended early", err)
 }
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/gate"
 )
 
 // failedPolls is the number of health polls that fail in a row before the
@@ -43,7 +44,7 @@
 		AvailabilityZone: d.cfg.AvailabilityZone, PeerAddress: d.peerAddress(), State: d.State(),
 	}
 	if g := d.gate.Load(); g != nil {
-		a.Slots = uint32(g.slots)
+		a.Slots = uint32(g.Slots())
 	}
 	if a.State == api.UpstreamState_UPSTREAM_STATE_SERVING {
 		a.UpMs = d.cfg.Now().Sub(d.servingSince).Milliseconds()
@@ -95,19 +96,19 @@
 		return // a service that was removed keeps its gate for what is in flight
 	}
 	d.setLocalCap(svc.declared.MaxConnections)
-	if g := d.gate.Load(); g != nil && g.slots == svc.declared.Slots {
+	if g := d.gate.Load(); g != nil && g.Slots() == svc.declared.Slots {
 		return
 	}
-	g := newGate(d.cfg.Now, admit.New(admit.Config{
+	g := gate.New(d.cfg.Now, admit.New(admit.Config{
 		Slots: svc.declared.Slots, MaxQueue: d.cfg.QueuePerSlot * svc.declared.Slots,
 	}), svc.declared.Slots)
 	if d.draining.Load() {
-		g.drain()
+		g.Drain()
 	}
 	if old := d.gate.Swap(g); old != nil {
-		old.retire()
+		old.Retire()
 	}
-	go g.tick(d.killed)
+	go g.Run(d.killed)
 }
 
 // setLocal puts the address of the local service in force.
--- /dev/null
+++ b/fleet/service.go
@@ -0,0 +1,208 @@
+// Package fleet connects daemons with the replicated state of a fleet: its
+// routing configuration and its members. A Service runs in each control
+// replica; an Agent runs in each daemon and attends one of them.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control"
+	"github.com/bilberrydeck/bilberrydeck/core/state"
+)
+
+// The periods of a Service.
+const (
+	// updateEvery is the longest time between two updates of a session. It must
+	// stay well below attend.SilentAfter.
+	updateEvery = time.Second
+	// sessionSilence is the time without a request after which a session ends;
+	// daemons send one a second.
+	sessionSilence = 4 * time.Second
+	// reconcileEvery is how often entries that are not yet as announced are
+	// proposed again.
+	reconcileEvery = 250 * time.Millisecond
+	// leaseTime is how long the entry of a daemon without a session is kept. A
+	// daemon that is cut off from control still serves its peers, and peers
+	// notice dead ones by themselves, so only entries of VMs that are gone matter.
+	leaseTime = 30 * time.Second
+	// proposeTimeout bounds one proposal, to the leader and back.
+	proposeTimeout = 2 * time.Second
+)
+
+// Service serves the sessions of daemons at one control replica.
+type Service struct {
+	control *control.Server
+	log     *log.Logger
+	clock   func() time.Time
+	leader  leaderLink
+
+	mu       sync.Mutex
+	sessions map[string]*session // by peer address
+	unheld   map[string]time.Time
+
+	wake chan struct{} // an announcement is to be proposed
+
+	api.UnimplementedFleetServer
+}
+
+// NewService returns a service that works while Run does.
+func NewService(server *control.Server, logger *log.Logger, clock func() time.Time, dial Dial) *Service {
+	return &Service{
+		control: server, log: logger, clock: clock, leader: leaderLink{dial: dial},
+		sessions: map[string]*session{}, unheld: map[string]time.Time{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Run keeps the entries of the fleet in line with the sessions until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	defer s.leader.close()
+	ticker := time.NewTicker(reconcileEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.wake:
+		}
+		s.reconcile(ctx)
+	}
+}
+
+func (s *Service) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Execute replicates a command of another replica, if this one leads.
+func (s *Service) Execute(ctx context.Context, cmd *api.FleetCommand) (*api.FleetResult, error) {
+	res := &api.FleetResult{}
+	if err := s.control.Execute(ctx, cmd, res); err != nil {
+		return nil, err
+	}
+	return res, nil
+}
+
+// Attend implements the session of one daemon.
+func (s *Service) Attend(stream grpc.BidiStreamingServer[api.AttendRequest, api.AttendUpdate]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetMember().GetPeerAddress() == "" {
+		return status.Error(codes.InvalidArgument, "the first request of a session must name the member")
+	}
+	ctx, cancel := context.WithCancelCause(stream.Context())
+	defer cancel(nil)
+	se := s.open(first, cancel)
+	defer s.close(se)
+	go se.receive(stream, cancel, s.nudge)
+	return se.send(ctx, stream)
+}
+
+// open registers a session. A former one of the same address ends: its daemon
+// has come back, or its VM has been replaced.
+func (s *Service) open(first *api.AttendRequest, cancel context.CancelCauseFunc) *session {
+	se := &session{service: s, address: first.Member.PeerAddress, cancel: cancel, asked: make(chan struct{}, 1), held: first.HeldIndex}
+	se.note(first)
+	s.mu.Lock()
+	if former := s.sessions[se.address]; former != nil {
+		former.cancel(errReplacedSession)
+	}
+	s.sessions[se.address] = se
+	s.mu.Unlock()
+	s.nudge()
+	s.log.Info().Str("daemon", se.address).Str("service", first.Member.Service).Str("upstream", first.Member.UpstreamId).
+		Uint64("held_index", first.HeldIndex).Msg("daemon attends")
+	return se
+}
+
+func (s *Service) close(se *session) {
+	s.mu.Lock()
+	current := s.sessions[se.address] == se
+	if current {
+		delete(s.sessions, se.address)
+	}
+	s.mu.Unlock()
+	s.log.Info().Str("daemon", se.address).Bool("replaced", !current).Msg("session of a daemon ended")
+}
+
+// reconcile proposes what differs between the sessions and the entries.
+func (s *Service) reconcile(ctx context.Context) {
+	now := s.clock()
+	for _, cmd := range s.differences(now) {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		_, err := s.Submit(ctx, cmd)
+		cancel()
+		if err != nil {
+			s.log.Info().Err(err).Msg("member entry is not stored yet; trying again")
+			return
+		}
+	}
+}
+
+func (s *Service) differences(now time.Time) []*api.FleetCommand {
+	entries := map[string]*api.FleetMember{}
+	s.readFleet(func(f *state.Fleet) {
+		for _, m := range f.Members() {
+			entries[m.PeerAddress] = m
+		}
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var cmds []*api.FleetCommand
+	for address, se := range s.sessions {
+		delete(s.unheld, address)
+		if wanted := se.entry(s.control.Self().Id); wanted != nil && !proto.Equal(wanted, entries[address]) {
+			cmds = append(cmds, &api.FleetCommand{Operation: &api.FleetCommand_Announce{Announce: wanted}})
+		}
+	}
+	return append(cmds, s.expired(now, entries)...)
+}
+
+// expired lists the removals of entries that have been without a session for
+// long: those that this replica holds, and on the leader those of replicas that
+// left the group.
+func (s *Service) expired(now time.Time, entries map[string]*api.FleetMember) []*api.FleetCommand {
+	view := s.control.View()
+	orphaned := func(home uint64) bool {
+		return view.Heard != nil && home != s.control.Self().Id && now.Sub(view.Heard[home]) > leaseTime
+	}
+	var cmds []*api.FleetCommand
+	for address, m := range entries {
+		if s.sessions[address] != nil || m.Home != s.control.Self().Id && !orphaned(m.Home) {
+			delete(s.unheld, address)
+			continue
+		}
+		if s.unheld[address].IsZero() {
+			s.unheld[address] = now
+		}
+		if now.Sub(s.unheld[address]) > leaseTime {
+			s.log.Info().Str("daemon", address).Str("service", m.Service).Msg("member removed: its daemon attends no replica")
+			cmds = append(cmds, removalOf(m))
+		}
+	}
+	return cmds
+}
+
+func removalOf(m *api.FleetMember) *api.FleetCommand {
+	return &api.FleetCommand{Operation: &api.FleetCommand_Remove{
+		Remove: &api.MemberRemoval{PeerAddress: m.PeerAddress, Boot: m.Boot, Home: m.Home},
+	}}
+}
+
+// readFleet gives access to the state that this replica has applied.
+func (s *Service) readFleet(read func(*state.Fleet)) {
+	s.control.Read(func(m control.Machine) { read(m.(*state.Fleet)) })
+}
--- a/daemon/gate.go
+++ b/gate/gate.go
@@ -1,4 +1,6 @@
-package daemon
+// Package gate binds the admission core to goroutines: each request waits for
+// its verdict.
+package gate
 
 import (
 	"context"
@@ -9,38 +11,40 @@
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 )
 
-const gateTick = 10 * time.Millisecond
+// tickEvery is the interval at which the core expires queued work.
+const tickEvery = 10 * time.Millisecond
 
-// gate binds the admission core to goroutines: each request waits for its
-// action on a ticket.
-type gate struct {
+// Gate is the admission controller in front of one upstream.
+type Gate struct {
 	now func() time.Time
 
 	mu      sync.Mutex
 	core    *admit.Gate
-	tickets map[uint64]*ticket
+	tickets map[uint64]*Ticket
 	next    uint64
 	slots   int
 
 	replaced bool
 }
 
-// ticket is one request at the gate.
-type ticket struct {
+// Ticket is one request at the gate.
+type Ticket struct {
 	id      uint64
 	verdict chan admit.Action // capacity 1; the core decides each id once
 	since   time.Time         // start of the run
 }
 
-var tickets = sync.Pool{New: func() any { return &ticket{verdict: make(chan admit.Action, 1)} }}
+var tickets = sync.Pool{New: func() any { return &Ticket{verdict: make(chan admit.Action, 1)} }}
 
-func newGate(now func() time.Time, core *admit.Gate, slots int) *gate {
-	return &gate{now: now, core: core, tickets: make(map[uint64]*ticket), slots: slots}
+// New returns a gate that works while Run does. Slots is the declared
+// concurrency of the upstream.
+func New(now func() time.Time, core *admit.Gate, slots int) *Gate {
+	return &Gate{now: now, core: core, tickets: make(map[uint64]*Ticket), slots: slots}
 }
 
-// enter waits until the request may run, is refused, or its context ends.
-// After a nil failure the caller must call leave.
-func (g *gate) enter(ctx context.Context, r admit.Request) (*ticket, time.Duration, *chain.Failure) {
+// Enter waits until the request may run, is refused, or its context ends.
+// After a nil failure the caller must call Leave.
+func (g *Gate) Enter(ctx context.Context, r admit.Request) (*Ticket, time.Duration, *chain.Failure) {
 	t := g.arrive(r)
 	select {
 	case action := <-t.verdict:
@@ -53,11 +57,11 @@
 		}
 	}
 	tickets.Put(t)
-	return nil, 0, contextFailure(ctx, chain.NotRun, "ended while the request was queued")
+	return nil, 0, chain.ContextFailure(ctx, chain.NotRun, "ended while the request was queued")
 }
 
-func (g *gate) arrive(r admit.Request) *ticket {
-	t := tickets.Get().(*ticket)
+func (g *Gate) arrive(r admit.Request) *Ticket {
+	t := tickets.Get().(*Ticket)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.next++
@@ -67,7 +71,7 @@
 	return t
 }
 
-func (g *gate) accept(t *ticket, action admit.Action) (*ticket, time.Duration, *chain.Failure) {
+func (g *Gate) accept(t *Ticket, action admit.Action) (*Ticket, time.Duration, *chain.Failure) {
 	if action.Kind == admit.Run {
 		t.since = g.now()
 		return t, 0, nil
@@ -78,7 +82,7 @@
 
 // withdraw removes a queued request. If it was decided in the meantime the
 // action is returned.
-func (g *gate) withdraw(t *ticket) (admit.Action, bool) {
+func (g *Gate) withdraw(t *Ticket) (admit.Action, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, queued := g.tickets[t.id]; !queued {
@@ -89,21 +93,21 @@
 	return admit.Action{}, false
 }
 
-// leave ends a run. Below is the time that the run spent in calls below.
-func (g *gate) leave(t *ticket, below time.Duration, result admit.Result) {
+// Leave ends a run. Below is the time that the run spent in calls below.
+func (g *Gate) Leave(t *Ticket, below time.Duration, result admit.Result) {
 	result.Own = max(g.now().Sub(t.since)-below, 0)
 	g.finish(t, result)
 	tickets.Put(t)
 }
 
-func (g *gate) finish(t *ticket, result admit.Result) {
+func (g *Gate) finish(t *Ticket, result admit.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.core.Finish(g.now(), t.id, result))
 }
 
 // deliver hands actions to their tickets. The caller holds the mutex.
-func (g *gate) deliver(actions []admit.Action) {
+func (g *Gate) deliver(actions []admit.Action) {
 	for _, action := range actions {
 		if t := g.tickets[action.ID]; t != nil {
 			delete(g.tickets, action.ID)
@@ -112,22 +116,24 @@
 	}
 }
 
-func (g *gate) drain() {
+// Drain refuses all queued and all later requests.
+func (g *Gate) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.core.Drain())
 }
 
-func (g *gate) report() admit.Report {
+// Report describes the load of the gate.
+func (g *Gate) Report() admit.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.Report(g.now())
 }
 
-// tick runs the periods of the admission core until ctx ends, or until the
+// Run executes the periods of the admission core until ctx ends, or until the
 // gate has been replaced and is empty.
-func (g *gate) tick(ctx context.Context) {
-	ticker := time.NewTicker(gateTick)
+func (g *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -142,24 +148,19 @@
 }
 
 // period reports whether the gate is still in use.
-func (g *gate) period() bool {
+func (g *Gate) period() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.core.Tick(g.now()))
 	return !g.replaced || len(g.tickets) > 0 || g.core.InFlight() > 0
 }
 
-// retire marks a gate that new requests no longer use.
-func (g *gate) retire() {
+// Retire marks a gate that new requests no longer use.
+func (g *Gate) Retire() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.replaced = true
 }
 
-// contextFailure types the end of a context.
-func contextFailure(ctx context.Context, outcome chain.Outcome, message string) *chain.Failure {
-	if ctx.Err() == context.DeadlineExceeded {
-		return chain.Wrap(outcome, chain.ReasonDeadline, message, ctx.Err())
-	}
-	return chain.Wrap(outcome, chain.ReasonCancelled, message, ctx.Err())
-}
+// Slots is the declared concurrency that the gate was made for.
+func (g *Gate) Slots() int { return g.slots }
--- /dev/null
+++ b/httpwire/write.go
@@ -0,0 +1,120 @@
+package httpwire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// maxPooledBuffer keeps one large message from occupying memory for good.
+const maxPooledBuffer = 64 << 10
+
+func getBuffer() *bytes.Buffer { return buffers.Get().(*bytes.Buffer) }
+
+func putBuffer(b *bytes.Buffer) {
+	if b.Cap() > maxPooledBuffer {
+		return
+	}
+	b.Reset()
+	buffers.Put(b)
+}
+
+func appendHeaders(buf *bytes.Buffer, h http.Header) {
+	for name, values := range h {
+		for _, v := range values {
+			buf.WriteString(name)
+			buf.WriteString(": ")
+			buf.WriteString(v)
+			buf.WriteString("\r\n")
+		}
+	}
+}
+
+func appendLength(buf *bytes.Buffer, length int64) {
+	if length < 0 {
+		buf.WriteString("Transfer-Encoding: chunked\r\n")
+		return
+	}
+	buf.WriteString("Content-Length: ")
+	buf.Write(strconv.AppendInt(buf.AvailableBuffer(), length, 10))
+	buf.WriteString("\r\n")
+}
+
+func appendResponseHead(buf *bytes.Buffer, req *http.Request, r *Response, length int64, closing bool) {
+	buf.WriteString("HTTP/1.1 ")
+	buf.Write(strconv.AppendInt(buf.AvailableBuffer(), int64(r.Status), 10))
+	buf.WriteByte(' ')
+	buf.WriteString(http.StatusText(r.Status))
+	buf.WriteString("\r\n")
+	appendHeaders(buf, r.Header)
+	switch {
+	case r.Status == http.StatusNoContent || r.Status == http.StatusNotModified:
+	case length < 0 && !req.ProtoAtLeast(1, 1):
+	default:
+		appendLength(buf, length)
+	}
+	if closing {
+		buf.WriteString("Connection: close\r\n")
+	}
+	buf.WriteString("\r\n")
+}
+
+// errShort is returned for a body that ended before its announced length.
+var errShort = errors.New("the body ended before its announced length")
+
+// copyBody writes a body of a given length, or in chunks if the length is -1.
+// An error leaves the message incomplete for its reader.
+func copyBody(w io.Writer, body io.Reader, length int64, chunked bool) error {
+	if length >= 0 {
+		n, err := io.Copy(w, io.LimitReader(body, length))
+		if err == nil && n < length {
+			return errShort
+		}
+		return err
+	}
+	if !chunked {
+		_, err := io.Copy(w, body)
+		return err
+	}
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(chunk(buf[:n])); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			_, err = w.Write([]byte("0\r\n\r\n"))
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func chunk(p []byte) []byte {
+	out := make([]byte, 0, len(p)+16)
+	out = strconv.AppendInt(out, int64(len(p)), 16)
+	out = append(out, '\r', '\n')
+	out = append(out, p...)
+	return append(out, '\r', '\n')
+}
+
+// stallWriter gives each write the whole stall time, so that a large body may
+// take longer than that altogether.
+type stallWriter struct{ nc net.Conn }
+
+// Write implements io.Writer.
+func (w stallWriter) Write(p []byte) (int, error) {
+	_ = w.nc.SetWriteDeadline(time.Now().Add(writeStall)) // fails only on a closed connection, which the write reports
+	return w.nc.Write(p)
+}
