platform, forward, fleet, httpwire: the whole path on the users' platform

Cause: the product served declared routes between listed peers; the users' platform has host and prefix routing, seeds, plain upstreams and its own calls. Ruled out: stretching the declared request path (chain handles, claims and listed relays have no counterpart there; its net/http server answers pipelined requests one by one and cannot match late answers).

--- a/cmd/bilberrydeck/main.go
+++ b/cmd/bilberrydeck/main.go
@@ -37,6 +37,8 @@
 	return []command{
 		{"daemon", "run the daemon beside an upstream", runDaemon},
 		{"control", "run a control replica", runControl},
+		{"fleet-daemon", "run the daemon beside an upstream of a fleet with seeds", runFleetDaemon},
+		{"fleet-control", "run a control replica of a fleet with seeds", runFleetControl},
 		{"publish", "send declarations to control", runPublish},
 		{"check", "validate declaration and settings files", runCheck},
 		{"status", "show the state of control or of a daemon", runStatus},
@@ -73,7 +75,7 @@
 func help(w io.Writer) {
 	fmt.Fprint(w, "Bilberrydeck controls overload in service call graphs.\n\nUsage: bilberrydeck COMMAND [flags] [arguments]\n\nCommands:\n")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+		fmt.Fprintf(w, "  %-13s %s\n", c.name, c.summary)
 	}
 	fmt.Fprint(w, "\nbilberrydeck COMMAND -h shows the flags and examples of a command.\n")
 }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -54,14 +54,18 @@
 	api.UnimplementedFleetServer
 }
 
-// NewService returns a service that works while Run does.
-func NewService(server *control.Server, logger *log.Logger, clock func() time.Time, dial Dial) *Service {
+// NewService returns a service that works while Run does. Bind must follow
+// before the replica runs.
+func NewService(logger *log.Logger, clock func() time.Time, dial Dial) *Service {
 	return &Service{
-		control: server, log: logger, clock: clock, leader: leaderLink{dial: dial},
+		log: logger, clock: clock, leader: leaderLink{dial: dial},
 		sessions: map[string]*session{}, unheld: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
+// Bind sets the replica whose state the service shows.
+func (s *Service) Bind(server *control.Server) { s.control = server }
+
 // Run keeps the entries of the fleet in line with the sessions until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	defer s.leader.close()
--- /dev/null
+++ b/forward/entrance.go
@@ -0,0 +1,331 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/routing"
+	"github.com/bilberrydeck/bilberrydeck/httpwire"
+)
+
+// request is one request at the entrance.
+type request struct {
+	f       *Forwarder
+	x       *httpwire.Exchange
+	arrived time.Time
+	route   *routing.Route
+	service *service
+	call    call
+	client  time.Duration // that the client waits; 0 if it did not say
+	limit   time.Time     // when it must be answered
+
+	tries   int      // upstreams asked
+	sends   int      // of these, upstreams that the request arrived at
+	tried   []string // upstream ids
+	mayRun  bool     // an earlier attempt may have run
+	held    *result  // answer of a failed attempt, passed on if no other succeeds
+	refusal *result  // last refusal
+}
+
+// serveEntrance answers one request of a client or of the local upstream.
+func (f *Forwarder) serveEntrance(x *httpwire.Exchange) {
+	f.metrics.clients.Inc()
+	r := &request{f: f, x: x, arrived: f.cfg.Now()}
+	r.call.id = x.Request.Header.Get(f.cfg.Dialect.RequestID)
+	if failure := r.prepare(); failure != nil {
+		r.refuse(&result{failure: failure})
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.Context(), x.Arrived.Add(r.limit.Sub(r.arrived)+r.margin()))
+	defer cancel()
+	r.finish(r.run(ctx))
+}
+
+// margin is how long the entrance waits past the limit. Past the time of the
+// client nobody waits any more.
+func (r *request) margin() time.Duration {
+	if r.client > 0 && r.limit.Sub(r.arrived) >= r.client {
+		return 0
+	}
+	return answerMargin
+}
+
+// prepare finds the route and reads what the request says.
+func (r *request) prepare() *chain.Failure {
+	f, req := r.f, r.x.Request
+	v := f.view.Load()
+	if v == nil {
+		return chain.NewFailure(chain.NotRun, chain.ReasonUnconfirmed, "no configuration has been confirmed since the start")
+	}
+	target := req.RequestURI
+	if len(target) == 0 || target[0] != '/' {
+		target = req.URL.RequestURI()
+	}
+	r.route = v.matcher.Match(req.Host, target)
+	if r.route == nil {
+		return chain.NewFailure(chain.NotRun, chain.ReasonUnknownRoute, "no route matches host and path")
+	}
+	r.service = v.services[v.splits[r.route].Next()]
+	r.client = clientWait(req.Header.Get(f.cfg.Dialect.Deadline))
+	r.limit = r.arrived.Add(waitFor(r.route, r.client))
+	r.call = call{
+		id: r.call.id, route: word(r.route.Name), kind: r.route.Kind, service: r.service.name,
+		priority: chain.NewPriority(classOf(r.route.Rank), r.call.id), deadline: r.limit,
+		method: req.Method, target: req.RequestURI, host: req.Host, header: httpwire.EndToEnd(req.Header),
+	}
+	stripOwn(r.call.header)
+	r.call.header[f.cfg.Dialect.Caller] = []string{f.cfg.Service}
+	return r.readBody()
+}
+
+// classOf maps the rank of a route, 0 being the highest, to a class.
+func classOf(rank int) chain.Class {
+	switch {
+	case rank <= 0:
+		return chain.Critical
+	case rank <= 2:
+		return chain.Default
+	}
+	return chain.Sheddable
+}
+
+// clientWait reads the time that a client waits; 0 if it does not say.
+func clientWait(value string) time.Duration {
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxWait)
+}
+
+// readBody holds a small body in memory, so that its client neither occupies a
+// slot while it sends nor has to send again.
+func (r *request) readBody() *chain.Failure {
+	b := r.x.Body
+	if b == nil {
+		return nil
+	}
+	if b.Length > wholeBody {
+		r.call.stream, r.call.length = b, b.Length
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(b, wholeBody))
+	if err == nil && len(body) == wholeBody {
+		r.call.stream, r.call.length = io.MultiReader(bytes.NewReader(body), b), b.Length
+		return nil
+	}
+	if err != nil {
+		return bodyFailure(err)
+	}
+	r.call.body = body
+	return nil
+}
+
+func bodyFailure(err error) *chain.Failure {
+	if errors.Is(err, httpwire.ErrBodyTooLarge) {
+		return chain.Wrap(chain.NotRun, chain.ReasonTooLarge, "the body exceeds the limit", err)
+	}
+	return chain.Wrap(chain.NotRun, chain.ReasonSlowBody, "the body could not be read", err)
+}
+
+// run tries upstreams until one answers or none may be tried any more.
+func (r *request) run(ctx context.Context) *result {
+	r.service.budget.Request(r.f.cfg.Now())
+	for {
+		choice, failure := r.pick()
+		if failure != nil {
+			return r.settle(&result{failure: failure})
+		}
+		begun := r.f.cfg.Now()
+		res := r.attempt(ctx, choice)
+		r.done(choice, res, r.f.cfg.Now().Sub(begun))
+		if !r.again(ctx, res) {
+			return r.settle(res)
+		}
+	}
+}
+
+func (r *request) pick() (balance.Choice, *chain.Failure) {
+	now := r.f.cfg.Now()
+	choice, failure := r.service.balancer.Pick(now, balance.Request{
+		Priority: r.call.priority, Exclude: r.tried, Bytes: max(r.call.bodyLength(), 0), Retry: r.tries > 0,
+	})
+	if failure == nil {
+		r.call.upstream = choice.Upstream.ID
+		r.f.recordChoice(&r.call, choice, now, now.Sub(r.arrived))
+	}
+	return choice, failure
+}
+
+// attempt sends the call to one upstream.
+func (r *request) attempt(ctx context.Context, choice balance.Choice) *result {
+	r.tries++
+	r.call.attempt = r.sends + 1
+	r.tried = append(r.tried, choice.Upstream.ID)
+	if choice.Upstream.Address == r.f.cfg.PeerAddress {
+		r.f.metrics.localSends.Inc()
+		return r.f.local.run(ctx, &r.call)
+	}
+	return r.f.sendToPeer(ctx, choice.Upstream.Address, &r.call)
+}
+
+func (r *request) done(choice balance.Choice, res *result, took time.Duration) {
+	out := balance.Result{Latency: took, Report: res.report, Bytes: r.call.bodyLength() + res.answer.size()}
+	if res.failure != nil {
+		out.Outcome, out.Reason, out.Deep = res.failure.Outcome, res.failure.Reason, res.failure.Deep
+	}
+	r.service.balancer.Done(r.f.cfg.Now(), choice, out)
+	if res.arrived {
+		r.sends++
+	}
+	if res.failure != nil && res.failure.Outcome != chain.NotRun {
+		r.mayRun = true
+	}
+}
+
+// again decides whether another upstream is tried.
+func (r *request) again(ctx context.Context, res *result) bool {
+	if res.failure == nil {
+		return false
+	}
+	now := r.f.cfg.Now()
+	if ctx.Err() != nil || r.limit.Sub(now) < lastSend || r.tries >= maxTries || r.call.stream != nil {
+		return false
+	}
+	if !mayRepeat(r.call.kind, res) {
+		return false
+	}
+	if r.sends >= r.maxAttempts() {
+		return false
+	}
+	if r.sends > 0 && !r.service.budget.Take(now) {
+		r.f.metrics.denied.Inc()
+		r.f.record(&r.call, "no-repeat", chain.NewFailure(res.failure.Outcome, chain.ReasonRetryBudget, ""), now, now.Sub(r.arrived))
+		return false
+	}
+	if r.sends > 0 {
+		r.f.metrics.repeats.Inc()
+	}
+	if res.answer != nil {
+		r.held.release()
+		r.held = res
+	}
+	r.f.record(&r.call, "retry", res.failure, now, now.Sub(r.arrived))
+	return true
+}
+
+func (r *result) release() {
+	if r != nil {
+		r.answer.close()
+	}
+}
+
+func (r *request) maxAttempts() int {
+	if r.route.MaxAttempts > 0 {
+		return r.route.MaxAttempts
+	}
+	return defaultAttempts
+}
+
+// mayRepeat reports whether a failed attempt permits another one. What may have
+// run is repeated only if its route allows that, and not if it failed because of
+// a call further down, which was repeated there.
+func mayRepeat(kind routing.Kind, res *result) bool {
+	f := res.failure
+	switch {
+	case f.Reason == chain.ReasonCancelled, f.Reason == chain.ReasonDeadline, f.Reason == chain.ReasonBadRequest:
+		return false
+	case f.Outcome == chain.NotRun:
+		return true
+	case f.Deep:
+		return false
+	}
+	return kind.Repeatable()
+}
+
+// settle chooses what the client gets: the last result, or an answer that an
+// earlier attempt got if the last one has none.
+func (r *request) settle(last *result) *result {
+	if last.answer != nil || r.held == nil {
+		r.held.release()
+		if last.failure != nil && r.mayRun && last.failure.Outcome == chain.NotRun {
+			// An earlier attempt may have run, so the refusal of the last one does
+			// not hold for the request.
+			f := *last.failure
+			f.Outcome = chain.Unknown
+			return &result{failure: &f}
+		}
+		return last
+	}
+	return r.held
+}
+
+// finish answers the client.
+func (r *request) finish(res *result) {
+	if res.answer == nil {
+		r.refuse(res)
+		return
+	}
+	defer res.answer.close()
+	a := res.answer
+	err := r.x.Respond(&httpwire.Response{Status: a.status, Header: a.header, Body: a.body, Stream: a.stream, Length: a.length})
+	r.answered(res.failure, a.status, err)
+}
+
+// refuse answers with a failure of the daemons themselves.
+func (r *request) refuse(res *result) {
+	status := statusOf(res.failure)
+	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	if after, ok := r.comeBack(res); ok {
+		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	}
+	body := []byte(res.failure.Outcome.String() + " (" + string(res.failure.Reason) + "): " + res.failure.Message + "\n")
+	err := r.x.Respond(&httpwire.Response{Status: status, Header: h, Body: body})
+	r.answered(res.failure, status, err)
+}
+
+// statusOf is the status of a failure. Only a request that has not run and will
+// not run gets a status that says so.
+func statusOf(f *chain.Failure) int {
+	switch {
+	case f.Outcome != chain.NotRun && f.Reason == chain.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case f.Outcome != chain.NotRun:
+		return http.StatusBadGateway
+	case f.Reason == chain.ReasonUnknownRoute, f.Reason == chain.ReasonBadRequest, f.Reason == chain.ReasonTooLarge, f.Reason == chain.ReasonSlowBody:
+		return f.HTTPStatus()
+	}
+	return http.StatusServiceUnavailable
+}
+
+// defaultComeBack is when a refused client may come back if the refusing part
+// gave no time.
+const defaultComeBack = 500 * time.Millisecond
+
+// comeBack tells when a client may try again.
+func (r *request) comeBack(res *result) (time.Duration, bool) {
+	if res.failure.Outcome != chain.NotRun || statusOf(res.failure) != http.StatusServiceUnavailable {
+		return 0, false
+	}
+	if res.retryAfter > 0 {
+		return res.retryAfter, true
+	}
+	return defaultComeBack, true
+}
+
+// answered records the end of a request.
+func (r *request) answered(failure *chain.Failure, status int, err error) {
+	now := r.f.cfg.Now()
+	if err != nil && failure == nil {
+		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
+	}
+	r.f.metrics.answered(failure, now.Sub(r.arrived))
+	r.f.recordAnswer(r, status, failure, now)
+}
--- /dev/null
+++ b/forward/inbound.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"net/http"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/routing"
+	"github.com/bilberrydeck/bilberrydeck/httpwire"
+)
+
+// peerLimits bound what other daemons send. The entrance has applied the limits
+// of the configuration, so these only have to be above them.
+func peerLimits() routing.Limits {
+	return routing.Limits{HeaderBytes: 256 << 10, BodyBytes: 1 << 30, IdleTimeout: 2 * peerIdle}
+}
+
+// servePeer runs a call of another daemon at the local upstream.
+func (f *Forwarder) servePeer(x *httpwire.Exchange) {
+	f.metrics.peers.Inc()
+	c := &call{
+		id: x.Request.Header.Get(f.cfg.Dialect.RequestID), method: x.Request.Method, target: x.Request.RequestURI,
+		host: x.Request.Host, header: httpwire.EndToEnd(x.Request.Header),
+	}
+	if !parseCall(x.Request.Header.Get(headerCall), f.cfg.Now(), c) {
+		f.answerPeer(x, refused(chain.ReasonBadRequest, "not a call of a daemon"))
+		return
+	}
+	stripOwn(c.header)
+	if x.Body != nil {
+		c.stream, c.length = x.Body, x.Body.Length
+	}
+	r := f.local.run(x.Context(), c)
+	f.answerPeer(x, r)
+}
+
+// answerPeer returns the result of a call.
+func (f *Forwarder) answerPeer(x *httpwire.Exchange, r *result) {
+	resp := &httpwire.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+	if a := r.answer; a != nil {
+		resp = &httpwire.Response{Status: a.status, Header: a.header, Body: a.body, Stream: a.stream, Length: a.length}
+		if r.failure != nil && r.failure.Deep {
+			resp.Header[headerDeep] = []string{"1"}
+		}
+	} else {
+		resp.Header[headerRefusal] = []string{formatRefusal(r)}
+	}
+	if r.report != nil {
+		resp.Header[headerReport] = []string{r.report.String()}
+	}
+	_ = x.Respond(resp) // the other daemon has left if this fails, and knows no outcome
+	r.answer.close()
+}
--- /dev/null
+++ b/forward/local.go
@@ -0,0 +1,329 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/presence"
+	"github.com/bilberrydeck/bilberrydeck/core/routing"
+	"github.com/bilberrydeck/bilberrydeck/gate"
+	"github.com/bilberrydeck/bilberrydeck/httpwire"
+)
+
+// local is the upstream beside this daemon, behind its gate. Since nobody else
+// reaches the upstream, what the gate decides holds for all daemons, also for
+// those that have not learnt it yet.
+type local struct {
+	f    *Forwarder
+	pool httpwire.Pool
+
+	mu       sync.Mutex
+	presence *presence.Presence
+	down     bool // connections to it fail
+	changed  func(LocalUpstream)
+
+	gate       atomic.Pointer[gate.Gate]
+	leaving    atomic.Bool // the daemon stops
+	running    atomic.Int64
+	repeating  atomic.Int64 // of these, requests that may have run before
+	lastFailed atomic.Int64 // steady nanoseconds of the last call of the upstream that failed
+	ctx        context.Context
+}
+
+// LocalUpstream is the state of the upstream beside the daemon.
+type LocalUpstream struct {
+	presence.Upstream
+	Down bool // connections to it fail
+}
+
+func newLocal(f *Forwarder) *local {
+	l := &local{f: f, presence: presence.New(f.cfg.Service), ctx: context.Background()}
+	l.pool.Dial = l.dial
+	return l
+}
+
+func (l *local) dial(ctx context.Context) (net.Conn, error) {
+	l.f.metrics.connections.Inc()
+	d := net.Dialer{Timeout: localConnectTimeout}
+	return d.DialContext(ctx, "tcp", l.f.cfg.UpstreamAddress)
+}
+
+// OnUpstreamChange registers a function that is told of each change of the
+// local upstream. It must be called before Run.
+func (f *Forwarder) OnUpstreamChange(changed func(LocalUpstream)) { f.local.changed = changed }
+
+// ReportUpstream takes a report of the local upstream.
+func (f *Forwarder) ReportUpstream(r presence.Report) presence.Verdict {
+	l := f.local
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.presence.Current()
+	verdict := l.presence.Take(f.cfg.Now(), r)
+	if verdict == presence.Taken {
+		l.down = false
+		l.update(before)
+	}
+	if verdict != presence.Taken || before.State != r.State || before.ID != r.ID {
+		f.cfg.Logger.Info().Str("upstream", r.ID).Int64("born", r.Born).Uint64("sequence", r.Sequence).Str("service", r.Service).
+			Str("state", r.State.String()).Int("slots", r.Slots).Str("verdict", verdict.String()).Msg("upstream report")
+	}
+	return verdict
+}
+
+// UpstreamLeft records that a run of the local upstream has left for good.
+func (f *Forwarder) UpstreamLeft(id string) {
+	l := f.local
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.presence.Current()
+	known := l.presence.Leave(id)
+	f.cfg.Logger.Info().Str("upstream", id).Bool("current", known).Msg("upstream left")
+	if known {
+		l.update(before)
+	}
+}
+
+// update brings the gate in line with the upstream. The caller holds the mutex.
+func (l *local) update(before presence.Upstream) {
+	now := l.presence.Current()
+	if now.ID != before.ID || now.Born != before.Born {
+		l.pool.Clear()
+	}
+	g := l.gate.Load()
+	switch {
+	case now.State == presence.Ready && (g == nil || now.ID != before.ID || now.Born != before.Born || g.Slots() != now.Slots):
+		l.replaceGate(now)
+	case now.State != presence.Ready && g != nil:
+		g.Drain()
+	}
+	if l.changed != nil {
+		l.changed(LocalUpstream{Upstream: now, Down: l.down})
+	}
+}
+
+func (l *local) replaceGate(u presence.Upstream) {
+	g := gate.New(l.f.cfg.Now, admit.New(admit.Config{
+		Slots: u.Slots, MaxLimit: u.Slots, MaxQueue: queuePerSlot * u.Slots, StreamShare: uploadShare,
+	}), u.Slots)
+	if l.leaving.Load() {
+		g.Drain()
+	}
+	if old := l.gate.Swap(g); old != nil {
+		old.Drain()
+		old.Retire()
+	}
+	go g.Run(l.ctx)
+}
+
+const (
+	// queuePerSlot is the number of requests that may wait for each slot. The
+	// gate drops those that could not end in time, so this only bounds memory.
+	queuePerSlot = 8
+	// uploadShare is the part of the slots that uploads may take. A body is held
+	// in memory before it is sent, so an upload is as short as other requests.
+	uploadShare = 1
+)
+
+// drain refuses new work because the daemon stops.
+func (l *local) drain() {
+	l.leaving.Store(true)
+	if g := l.gate.Load(); g != nil {
+		g.Drain()
+	}
+}
+
+// accepts reports why a call cannot run here, nil if it may enter the gate.
+func (l *local) accepts(c *call) *chain.Failure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.presence.Current()
+	switch {
+	case l.leaving.Load():
+		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the daemon beside the upstream stops")
+	case c.service != l.f.cfg.Service:
+		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "another service runs here")
+	case now.State == presence.Draining, now.State == presence.Absent && now.ID == c.upstream && c.upstream != "":
+		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the upstream is leaving")
+	case now.State == presence.Absent:
+		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "no upstream has reported here")
+	case l.down:
+		return chain.NewFailure(chain.NotRun, chain.ReasonConnect, "the upstream accepts no connections")
+	}
+	return nil
+}
+
+// run takes a call through the gate to the upstream. Ctx ends when the sender
+// of the call has left or its time is over.
+func (l *local) run(ctx context.Context, c *call) *result {
+	if f := l.accepts(c); f != nil {
+		return l.refuse(c, f, 0)
+	}
+	g := l.gate.Load()
+	entered := l.f.cfg.Now()
+	t, after, failure := g.Enter(ctx, admit.Request{Priority: c.priority, Deadline: c.deadline, Stream: c.kind == routing.Upload, Route: c.route})
+	if failure != nil {
+		return l.refuse(c, failure, after)
+	}
+	waited := l.f.cfg.Now().Sub(entered)
+	l.f.metrics.gateWait.Update(waited.Seconds())
+	l.f.record(c, "admit", nil, l.f.cfg.Now(), waited)
+	r := l.admitted(ctx, c)
+	g.Leave(t, 0, admit.Result{OK: r.failure == nil || r.failure.Outcome == chain.NotRun || r.failure.Deep, Cancelled: isCancelled(r.failure)})
+	report := g.Report()
+	r.report = &report
+	return r
+}
+
+func isCancelled(f *chain.Failure) bool { return f != nil && f.Reason == chain.ReasonCancelled }
+
+func (l *local) refuse(c *call, failure *chain.Failure, after time.Duration) *result {
+	l.f.metrics.refused(failure)
+	l.f.record(c, "refuse", failure, l.f.cfg.Now(), 0)
+	r := &result{failure: failure, retryAfter: after}
+	if g := l.gate.Load(); g != nil {
+		report := g.Report()
+		r.report = &report
+	}
+	return r
+}
+
+// admitted sends a call that holds a slot. One that may not be repeated runs to
+// its end even if its sender has left: breaking it off would leave open whether
+// its work was done.
+func (l *local) admitted(ctx context.Context, c *call) *result {
+	begun := l.f.cfg.Now()
+	l.running.Add(1)
+	defer l.running.Add(-1)
+	if c.attempt > 1 {
+		l.repeating.Add(1)
+		defer l.repeating.Add(-1)
+	}
+	if !c.kind.Repeatable() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), max(c.remaining(begun)+answerMargin, 0))
+		defer cancel()
+	}
+	r := l.send(ctx, c)
+	took := l.f.cfg.Now().Sub(begun)
+	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError && l.lastFailed.Load() >= begun.UnixNano() {
+		r.failure.Deep = true // a call that the upstream made failed meanwhile
+	}
+	l.f.metrics.ran(resultName(r.failure), took)
+	l.f.record(c, "ran", r.failure, l.f.cfg.Now(), took)
+	return r
+}
+
+func resultName(f *chain.Failure) string {
+	if f == nil {
+		return chain.OK.String()
+	}
+	return f.Outcome.String()
+}
+
+// send carries out one exchange with the upstream.
+func (l *local) send(ctx context.Context, c *call) *result {
+	now := l.f.cfg.Now()
+	remaining := c.remaining(now)
+	if remaining < lastSend {
+		return refused(chain.ReasonDeadline, "no time is left")
+	}
+	id := l.target(c)
+	idle := peerIdle
+	if !c.kind.Repeatable() {
+		idle = safeIdle
+	}
+	conn, err := l.pool.Get(ctx, idle)
+	if err != nil {
+		return l.unreachable(ctx, err)
+	}
+	answer, err := conn.Do(ctx, l.outgoing(c, id, remaining))
+	if err != nil {
+		written := conn.Written()
+		conn.Close()
+		return l.broken(ctx, written, err)
+	}
+	return l.judge(ctx, conn, answer)
+}
+
+// target is the id of the upstream that is to run the call.
+func (l *local) target(c *call) string {
+	if c.upstream != "" {
+		return c.upstream
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.presence.Current().ID
+}
+
+// outgoing is the request as the upstream gets it.
+func (l *local) outgoing(c *call, id string, remaining time.Duration) *httpwire.Out {
+	d := &l.f.cfg.Dialect
+	h := c.header.Clone()
+	h.Set(d.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	h.Set(d.Target, id)
+	out := c.out(h)
+	out.Matches = func(h http.Header) bool { return h.Get(d.RequestID) == c.id }
+	return out
+}
+
+// unreachable types a connection that could not be opened.
+func (l *local) unreachable(ctx context.Context, err error) *result {
+	if ctx.Err() != nil {
+		return &result{failure: chain.ContextFailure(ctx, chain.NotRun, "ended before a connection to the upstream was open")}
+	}
+	l.markDown(err)
+	return &result{failure: chain.Wrap(chain.NotRun, chain.ReasonConnect, "no connection to the upstream", err)}
+}
+
+// broken types an exchange without an answer.
+func (l *local) broken(ctx context.Context, written int64, err error) *result {
+	r := &result{arrived: written > 0}
+	outcome := chain.Unknown
+	if written == 0 {
+		outcome = chain.NotRun
+	}
+	switch {
+	case ctx.Err() != nil:
+		r.failure = chain.ContextFailure(ctx, outcome, "no answer of the upstream in time")
+	case errors.Is(err, httpwire.ErrMismatch):
+		r.failure = chain.Wrap(outcome, chain.ReasonCrossed, "the upstream answered other requests", err)
+	default:
+		r.failure = chain.Wrap(outcome, chain.ReasonUpstreamError, "the connection broke before the answer", err)
+	}
+	return r
+}
+
+// judge types an answer whose head was read.
+func (l *local) judge(ctx context.Context, conn *httpwire.ClientConn, from *httpwire.Answer) *result {
+	d := &l.f.cfg.Dialect
+	a, failure := readAnswer(ctx, from, func() { l.pool.Put(conn) })
+	if failure != nil {
+		conn.Close()
+		return &result{failure: failure, arrived: true}
+	}
+	r := &result{arrived: true}
+	switch {
+	case from.Status == http.StatusMisdirectedRequest:
+		l.replaced(from.Header.Get(d.Instance))
+		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "another upstream runs at this address")
+	case from.Header.Get(d.NotRun) != "" && from.Status != http.StatusBadRequest:
+		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonOverload, "the upstream refused the request")
+	case from.Status >= http.StatusInternalServerError:
+		r.failure = chain.NewFailure(chain.Failed, chain.ReasonHandlerError, "the upstream failed with status "+strconv.Itoa(from.Status))
+		r.answer = a
+	default:
+		r.answer = a
+	}
+	if r.answer == nil {
+		a.close()
+	}
+	return r
+}
--- /dev/null
+++ b/forward/peers.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/httpwire"
+)
+
+// peers holds the connections to other daemons.
+type peers struct {
+	mu    sync.Mutex
+	pools map[string]*httpwire.Pool // by peer address
+}
+
+func newPeers() *peers { return &peers{pools: map[string]*httpwire.Pool{}} }
+
+func (p *peers) pool(address string) *httpwire.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.pools[address]
+	if pool == nil {
+		dialer := net.Dialer{Timeout: peerConnectTimeout}
+		pool = &httpwire.Pool{Dial: func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }}
+		p.pools[address] = pool
+	}
+	return pool
+}
+
+// awaitBody is the size from which on a body is sent only once the gate has
+// admitted the request: a refusal then costs no transfer.
+const awaitBody = 8 << 10
+
+// sendToPeer hands a call to the daemon beside the chosen upstream.
+func (f *Forwarder) sendToPeer(ctx context.Context, address string, c *call) *result {
+	f.metrics.peerSends.Inc()
+	pool := f.peers.pool(address)
+	conn, err := pool.Get(ctx, peerIdle)
+	if err != nil {
+		if ctx.Err() != nil {
+			return &result{failure: chain.ContextFailure(ctx, chain.NotRun, "ended before a connection to the daemon was open")}
+		}
+		return &result{failure: chain.Wrap(chain.NotRun, chain.ReasonConnect, "no connection to the daemon of the upstream", err)}
+	}
+	from, err := conn.Do(ctx, f.peerRequest(c))
+	if err != nil {
+		written := conn.Written()
+		conn.Close()
+		return peerBroken(ctx, written, err)
+	}
+	return takePeerAnswer(ctx, pool, conn, from)
+}
+
+// peerRequest is the call as it travels to a peer.
+func (f *Forwarder) peerRequest(c *call) *httpwire.Out {
+	h := c.header.Clone()
+	delete(h, f.cfg.Dialect.Deadline)
+	h[headerCall] = []string{formatCall(c, c.remaining(f.cfg.Now()))}
+	out := c.out(h)
+	out.AwaitContinue = c.bodyLength() < 0 || c.bodyLength() >= awaitBody
+	return out
+}
+
+func peerBroken(ctx context.Context, written int64, err error) *result {
+	outcome := chain.Unknown
+	if written == 0 {
+		outcome = chain.NotRun
+	}
+	r := &result{arrived: written > 0}
+	if ctx.Err() != nil {
+		r.failure = chain.ContextFailure(ctx, outcome, "no answer of the daemon of the upstream in time")
+		return r
+	}
+	r.failure = chain.Wrap(outcome, chain.ReasonConnect, "the connection to the daemon of the upstream broke", err)
+	return r
+}
+
+// takePeerAnswer reads the answer of a peer.
+func takePeerAnswer(ctx context.Context, pool *httpwire.Pool, conn *httpwire.ClientConn, from *httpwire.Answer) *result {
+	report := parseReport(from.Header)
+	refusal := from.Header.Get(headerRefusal)
+	deep := from.Header.Get(headerDeep) != ""
+	a, failure := readAnswer(ctx, from, func() { pool.Put(conn) })
+	if failure != nil {
+		conn.Close()
+		return &result{failure: failure, arrived: true, report: report}
+	}
+	stripOwn(a.header)
+	if refusal != "" {
+		a.close()
+		r := parseRefusal(refusal)
+		r.report = report
+		return r
+	}
+	r := &result{answer: a, arrived: true, report: report}
+	if a.status >= http.StatusInternalServerError {
+		r.failure = chain.NewFailure(chain.Failed, chain.ReasonHandlerError, "the upstream failed")
+		r.failure.Deep = deep
+	}
+	return r
+}
--- /dev/null
+++ b/forward/view.go
@@ -0,0 +1,128 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/retry"
+	"github.com/bilberrydeck/bilberrydeck/core/routing"
+)
+
+// Fleet is what a daemon knows of the fleet.
+type Fleet struct {
+	Table     *routing.Table // nil before the first configuration
+	Upstreams map[string][]balance.Upstream
+	Daemons   int // daemons that share the slack of the retry budget
+}
+
+// view is the configuration in force. It does not change; the services are
+// shared by successive views.
+type view struct {
+	table    *routing.Table
+	matcher  *routing.Matcher
+	splits   map[*routing.Route]*routing.Split
+	services map[string]*service
+}
+
+// service is what this daemon knows of one service.
+type service struct {
+	name     string
+	balancer *balance.Balancer
+	budget   *retry.Window
+}
+
+// SetFleet puts a configuration and a list of upstreams in force.
+func (f *Forwarder) SetFleet(fleet Fleet) {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	now := f.cfg.Now()
+	for name := range fleet.Upstreams {
+		f.service(name)
+	}
+	for name, s := range f.services {
+		s.balancer.SetUpstreams(now, fleet.Upstreams[name])
+		s.budget.SetSlack(f.cfg.Retries.Slack / float64(max(fleet.Daemons, 1)))
+	}
+	if fleet.Table == nil {
+		return
+	}
+	before := f.view.Load()
+	if before != nil && before.table == fleet.Table {
+		f.publish(before.table, before.matcher, before.splits)
+		return
+	}
+	f.publish(fleet.Table, routing.NewMatcher(fleet.Table), f.newSplits(fleet.Table))
+	f.cfg.Logger.Info().Uint64("configuration", fleet.Table.Number).Int("routes", len(fleet.Table.Routes)).
+		Int("services", len(fleet.Table.Services)).Msg("configuration in force")
+}
+
+// service returns the record of a service, which lasts as long as the process.
+// The caller holds fleetMu.
+func (f *Forwarder) service(name string) *service {
+	s := f.services[name]
+	if s == nil {
+		s = &service{
+			name: name,
+			balancer: balance.New(balance.Config{
+				Region: f.cfg.Region, AvailabilityZone: f.cfg.AvailabilityZone, Links: f.links,
+				Seed: f.cfg.Seed + uint64(len(f.services)), SlowStart: slowStart,
+			}),
+			budget: retry.NewWindow(f.cfg.Retries.Window, f.cfg.Retries.Ratio),
+		}
+		f.services[name] = s
+	}
+	return s
+}
+
+func (f *Forwarder) newSplits(table *routing.Table) map[*routing.Route]*routing.Split {
+	splits := make(map[*routing.Route]*routing.Split, len(table.Routes))
+	for i := range table.Routes {
+		r := &table.Routes[i]
+		splits[r] = routing.NewSplit(r.Targets, f.skip())
+		for _, target := range r.Targets {
+			f.service(target.Service)
+		}
+	}
+	return splits
+}
+
+// skip is a random number of requests, so that the daemons do not all begin
+// with the same target of a split.
+func (f *Forwarder) skip() int { return int(f.cfg.Seed % 1000) }
+
+func (f *Forwarder) publish(table *routing.Table, m *routing.Matcher, splits map[*routing.Route]*routing.Split) {
+	services := make(map[string]*service, len(f.services))
+	for name, s := range f.services {
+		services[name] = s
+	}
+	f.view.Store(&view{table: table, matcher: m, splits: splits, services: services})
+}
+
+// limits are those of the configuration in force.
+func (f *Forwarder) limits() routing.Limits {
+	if v := f.view.Load(); v != nil {
+		return v.table.Limits
+	}
+	return routing.Limits{}
+}
+
+// Number is the number of the configuration in force, 0 if there is none.
+func (f *Forwarder) Number() uint64 {
+	if v := f.view.Load(); v != nil {
+		return v.table.Number
+	}
+	return 0
+}
+
+// waitFor is the time that a request may take: the smaller of what its client
+// and its route allow.
+func waitFor(route *routing.Route, client time.Duration) time.Duration {
+	wait := defaultWait
+	if route.Timeout > 0 {
+		wait = route.Timeout
+	}
+	if client > 0 {
+		wait = min(wait, client)
+	}
+	return wait
+}
--- /dev/null
+++ b/forward/watch.go
@@ -0,0 +1,135 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/presence"
+	"github.com/bilberrydeck/bilberrydeck/httpwire"
+)
+
+const (
+	// reconnectEvery is how often an upstream that accepts no connections is
+	// tried again.
+	reconnectEvery = 250 * time.Millisecond
+	// probeTimeout bounds the health check of an upstream that has not reported.
+	probeTimeout = time.Second
+	// probeEvery is the interval of these checks.
+	probeEvery = 500 * time.Millisecond
+	// probedSlots is the concurrency assumed for an upstream until it reports.
+	probedSlots = 8
+)
+
+// markDown notes that the upstream accepts no connections.
+func (l *local) markDown(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return
+	}
+	l.down = true
+	l.f.cfg.Logger.Warn().Str("upstream", l.presence.Current().ID).Str("address", l.f.cfg.UpstreamAddress).Err(err).Msg("upstream lost")
+	l.update(l.presence.Current())
+}
+
+// replaced notes that another run answers at the upstream's address.
+func (l *local) replaced(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.presence.Current()
+	if l.presence.Replaced(id) {
+		l.f.cfg.Logger.Warn().Str("upstream", before.ID).Str("found", id).Msg("upstream replaced by another run")
+		l.update(before)
+	}
+}
+
+// watch tries to reach an upstream that was lost, and finds one that was there
+// before this daemon.
+func (l *local) watch(ctx context.Context) {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	probed := time.Time{}
+	ticker := time.NewTicker(reconnectEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if l.isDown() {
+				l.tryConnect(ctx)
+			}
+			if l.unknown() && now.Sub(probed) >= probeEvery {
+				probed = now
+				l.probe(ctx)
+			}
+		}
+	}
+}
+
+func (l *local) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+// unknown reports whether no run of the upstream is known at all.
+func (l *local) unknown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.presence.Current().ID == ""
+}
+
+func (l *local) tryConnect(ctx context.Context) {
+	d := net.Dialer{Timeout: localConnectTimeout}
+	nc, err := d.DialContext(ctx, "tcp", l.f.cfg.UpstreamAddress)
+	if err != nil {
+		return // logged when it was lost
+	}
+	l.pool.Put(httpwire.NewClientConn(nc))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
+	l.f.cfg.Logger.Info().Str("upstream", l.presence.Current().ID).Msg("upstream regained")
+	l.update(l.presence.Current())
+}
+
+// probe asks the upstream for its id. A daemon that was started alone would
+// otherwise have to wait for the next report.
+func (l *local) probe(ctx context.Context) {
+	v := l.f.view.Load()
+	if v == nil {
+		return
+	}
+	s := v.matcher.Service(l.f.cfg.Service)
+	if s == nil || s.HealthPath == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := l.pool.Get(ctx, peerIdle)
+	if err != nil {
+		return // no upstream runs yet; its first report will tell
+	}
+	from, err := conn.Do(ctx, &httpwire.Out{Method: http.MethodGet, Target: s.HealthPath, Host: l.f.cfg.UpstreamAddress, Header: http.Header{}})
+	if err != nil {
+		conn.Close()
+		return
+	}
+	if _, failure := readAnswer(ctx, from, func() { l.pool.Put(conn) }); failure != nil {
+		return
+	}
+	l.found(from.Header.Get(l.f.cfg.Dialect.Instance), from.Status == http.StatusOK)
+}
+
+func (l *local) found(id string, ready bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.presence.Probed(id, probedSlots, ready) {
+		l.f.cfg.Logger.Info().Str("upstream", id).Bool("ready", ready).Msg("upstream found by a health check")
+		l.update(presence.Upstream{})
+	}
+}
--- /dev/null
+++ b/process/fleet_control.go
@@ -0,0 +1,115 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control"
+	"github.com/bilberrydeck/bilberrydeck/core/state"
+	"github.com/bilberrydeck/bilberrydeck/fleet"
+	"github.com/bilberrydeck/bilberrydeck/internal/steady"
+	"github.com/bilberrydeck/bilberrydeck/internal/tcpopt"
+	"github.com/bilberrydeck/bilberrydeck/logging"
+	"github.com/bilberrydeck/bilberrydeck/platform"
+)
+
+// The timing of replication between VMs of several regions. Traffic between
+// zones is paid for by the byte, so heartbeats are rare; an election still ends
+// within the three seconds after which the group must work again.
+const (
+	fleetTick           = 50 * time.Millisecond
+	fleetHeartbeatTicks = 8
+	fleetElectionTicks  = 24
+)
+
+// replicaDirectory is the directory of the replica below the data directory.
+const replicaDirectory = "replica"
+
+// RunFleetControl runs a control replica of a fleet until ctx ends or its disk
+// fails. Settings are those of the platform.
+func RunFleetControl(ctx context.Context, path string, reload <-chan os.Signal, logger *logging.Logger) error {
+	s, err := loadFleetSettings(path, logger)
+	if err != nil {
+		return err
+	}
+	tuneFleetMemory(s.MemoryBytes)
+	logger.Info().Str("vm", s.VM).Str("address", s.ReplicaAddress()).Str("availability_zone", s.AvailabilityZone).
+		Bool("first_start", s.FirstStart).Strs("seeds", s.Seeds).Int("losses", s.Losses).Msg("control started")
+	p := &fleetProcess{settings: s, path: path, reload: reload, logger: logger}
+	for {
+		err = p.runReplica(ctx)
+		var removed *control.RemovedError
+		if !errors.As(err, &removed) {
+			break
+		}
+		// Its data is of no use to the group any more; it joins as a new replica.
+		logger.Warn().Uint64("replica", removed.Replica).Msg("replaced by the group; starting anew without state")
+		p.settings.FirstStart = false
+		if err = os.RemoveAll(p.directory()); err != nil {
+			break
+		}
+	}
+	logStopped(logger, "control", err)
+	return err
+}
+
+func (p *fleetProcess) directory() string { return filepath.Join(p.settings.DataDir, replicaDirectory) }
+
+func (p *fleetProcess) runReplica(ctx context.Context) error {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	service := fleet.NewService(p.logger, steady.Now, dialControl)
+	server, err := p.newReplica(ctx, func(r grpc.ServiceRegistrar) { api.RegisterFleetServer(r, service) })
+	if err != nil {
+		return err
+	}
+	service.Bind(server)
+	if err := p.serveOperators(ctx, service); err != nil {
+		return err
+	}
+	var parts sync.WaitGroup
+	parts.Go(func() { service.Run(ctx) })
+	parts.Go(func() { platform.WatchSettings(ctx, p.path, p.reload, p.logger, func(platform.Settings) {}) })
+	defer parts.Wait()
+	defer end()
+	return server.Run(ctx)
+}
+
+func (p *fleetProcess) newReplica(ctx context.Context, register func(grpc.ServiceRegistrar)) (*control.Server, error) {
+	s := &p.settings
+	listener, err := tcpopt.Listen(ctx, s.ReplicaAddress())
+	if err != nil {
+		return nil, err
+	}
+	return control.New(control.Config{
+		Listener: listener, AdvertiseAddress: s.ReplicaAddress(), DataDirectory: p.directory(),
+		Seeded: &control.Seeded{
+			Seeds: s.Seeds, FirstStart: s.FirstStart, AvailabilityZone: s.AvailabilityZone, Losses: s.Losses,
+		},
+		Plaintext: true, Dialer: dialControl, Logger: p.logger, Clock: steady.Now, Seed: newSeed(),
+		TickInterval: fleetTick, HeartbeatTicks: fleetHeartbeatTicks, ElectionTicks: fleetElectionTicks,
+		Machine:  func(uint32) control.Machine { return state.NewFleet() },
+		Register: register,
+	})
+}
+
+func (p *fleetProcess) serveOperators(ctx context.Context, service *fleet.Service) error {
+	_, port, err := net.SplitHostPort(p.settings.ControlAddress)
+	if err != nil {
+		return err
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return err
+	}
+	return serveHTTP(ctx, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.logger), p.logger)
+}
--- /dev/null
+++ b/process/fleet_daemon.go
@@ -0,0 +1,154 @@
+package process
+
+import (
+	"context"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/presence"
+	"github.com/bilberrydeck/bilberrydeck/core/routing"
+	"github.com/bilberrydeck/bilberrydeck/fleet"
+	"github.com/bilberrydeck/bilberrydeck/forward"
+	"github.com/bilberrydeck/bilberrydeck/internal/steady"
+	"github.com/bilberrydeck/bilberrydeck/logging"
+	"github.com/bilberrydeck/bilberrydeck/platform"
+)
+
+// retryShare is the part of the repeats that the users allow which the daemons
+// use. The rest covers requests that arrive at the edge of a window.
+const retryShare = 0.9
+
+// RunFleetDaemon runs the daemon beside one upstream of a fleet until ctx ends.
+// Settings are those of the platform.
+func RunFleetDaemon(ctx context.Context, path string, reload <-chan os.Signal, logger *logging.Logger) error {
+	s, err := loadFleetSettings(path, logger)
+	if err != nil {
+		return err
+	}
+	tuneFleetMemory(s.MemoryBytes)
+	logger.Info().Str("vm", s.VM).Str("service", s.Service).Str("upstream", s.UpstreamAddress).Str("entrance", s.EntranceAddress).
+		Str("peer", s.PeerAddress).Str("availability_zone", s.AvailabilityZone).Strs("seeds", s.Seeds).Msg("daemon started")
+	d := &fleetDaemon{fleetProcess: fleetProcess{settings: s, path: path, reload: reload, logger: logger}}
+	err = d.run(ctx)
+	logStopped(logger, "daemon", err)
+	return err
+}
+
+// fleetDaemon connects the request path with the fleet.
+type fleetDaemon struct {
+	fleetProcess
+	forwarder *forward.Forwarder
+	agent     *fleet.Agent
+	table     atomic.Pointer[routing.Table]
+}
+
+func (d *fleetDaemon) run(ctx context.Context) error {
+	s := &d.settings
+	var err error
+	d.forwarder, err = forward.New(ctx, forward.Config{
+		EntranceAddress: s.EntranceAddress, PeerAddress: s.PeerAddress, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
+		Region: s.Region, AvailabilityZone: s.AvailabilityZone, Dialect: platform.Dialect(),
+		Retries: forward.RetryLimits{Ratio: s.RetryRatio * retryShare, Slack: s.RetrySlack * retryShare, Window: s.RetryWindow},
+		Grace:   s.Grace, Now: steady.Now, Seed: newSeed(), Logger: d.logger,
+	})
+	if err != nil {
+		return err
+	}
+	d.agent = fleet.NewAgent(fleet.AgentConfig{
+		Address: s.PeerAddress, Region: s.Region, Zone: s.AvailabilityZone, RegionOf: func(zone string) string { return s.RegionOf[zone] },
+		Seeds: s.Seeds, Dial: dialControl, Log: d.logger, Clock: steady.Now, Seed: newSeed(), Changed: d.changed,
+	}, &api.FleetMember{Service: s.Service, State: api.UpstreamState_UPSTREAM_STATE_STARTING})
+	d.forwarder.OnUpstreamChange(d.announce)
+	return d.serve(ctx)
+}
+
+func (d *fleetDaemon) serve(ctx context.Context) error {
+	// The agent and the small listeners outlast the planned stop of the forwarder.
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	if err := serveHTTP(running, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), d.logger); err != nil {
+		return err
+	}
+	if err := serveHTTP(running, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.logger); err != nil {
+		return err
+	}
+	var parts sync.WaitGroup
+	parts.Go(func() { d.agent.Run(running) })
+	parts.Go(func() { platform.WatchSettings(running, d.path, d.reload, d.logger, d.reloaded) })
+	d.forwarder.Run(ctx)
+	end()
+	parts.Wait()
+	return nil
+}
+
+// reloaded takes over what may change while the process runs.
+func (d *fleetDaemon) reloaded(s platform.Settings) {
+	d.agent.SetSeeds(s.Seeds)
+	if s.EntranceAddress != d.settings.EntranceAddress || s.Service != d.settings.Service || s.UpstreamAddress != d.settings.UpstreamAddress {
+		d.logger.Warn().Msg("changed addresses and services take effect at the next start")
+	}
+}
+
+// announce tells the fleet of a change of the local upstream.
+func (d *fleetDaemon) announce(u forward.LocalUpstream) {
+	m := &api.FleetMember{Service: d.settings.Service, UpstreamId: u.ID, Slots: uint32(u.Slots)}
+	switch {
+	case u.State == presence.Draining:
+		m.State = api.UpstreamState_UPSTREAM_STATE_DRAINING
+	case u.State == presence.Ready && !u.Down:
+		m.State = api.UpstreamState_UPSTREAM_STATE_SERVING
+		m.WarmUpMs = uint32(max(u.WarmUpTo.Sub(steady.Now()), 0).Milliseconds())
+	default:
+		m.State = api.UpstreamState_UPSTREAM_STATE_STARTING
+	}
+	d.agent.Announce(m)
+}
+
+// changed puts a new state of the fleet in force.
+func (d *fleetDaemon) changed(s fleet.State) {
+	table, err := d.tableOf(s.Routing)
+	if err != nil {
+		d.logger.Error().Uint64("number", s.Routing.GetNumber()).Err(err).Msg("accepted configuration cannot be used")
+		return
+	}
+	d.forwarder.SetFleet(forward.Fleet{Table: table, Upstreams: upstreamsOf(s.Members), Daemons: len(s.Members)})
+}
+
+// tableOf decodes a routing document, unless it is the one in force.
+func (d *fleetDaemon) tableOf(doc *api.RoutingDocument) (*routing.Table, error) {
+	if doc == nil {
+		return nil, nil
+	}
+	if held := d.table.Load(); held != nil && held.Number == doc.Number {
+		return held, nil
+	}
+	text, err := fleet.Text(doc)
+	if err != nil {
+		return nil, err
+	}
+	table, err := platform.DecodeConfig(text)
+	if err != nil {
+		return nil, err
+	}
+	d.table.Store(table)
+	return table, nil
+}
+
+func upstreamsOf(members map[string]*api.FleetMember) map[string][]balance.Upstream {
+	now := steady.Now()
+	out := map[string][]balance.Upstream{}
+	for _, m := range members {
+		if m.UpstreamId == "" || m.State != api.UpstreamState_UPSTREAM_STATE_SERVING {
+			continue
+		}
+		out[m.Service] = append(out[m.Service], balance.Upstream{
+			ID: m.UpstreamId, Address: m.PeerAddress, Region: m.Region, AvailabilityZone: m.AvailabilityZone, Slots: int(m.Slots),
+			UpSince: now.Add(-time.Hour), // those that were there before this daemon are warm
+		})
+	}
+	return out
+}
