forward, control: only real changes travel, fixed limit, one class a rank

Cause: each report of an upstream was announced (150 appends a second), upstreams looked restarted with every table and got a slow start, so 22% of the calls left their zone; the probe limiter is of no use where the gate knows the slots. Ruled out: heartbeats (10 a second, 1.4 KB/s in all). Change: announcements without a change are dropped; upstreams keep their start; gRPC windows are fixed (no pings); a sole voter leads at once.

--- a/control/server.go
+++ b/control/server.go
@@ -154,6 +154,8 @@
 	s.grpc = grpc.NewServer(append([]grpc.ServerOption{
 		grpc.Creds(transportCredentials),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.InitialWindowSize(WindowBytes),
+		grpc.InitialConnWindowSize(WindowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
 	}, s.cfg.ServerOptions...)...)
--- a/control/transport.go
+++ b/control/transport.go
@@ -146,6 +146,11 @@
 	t.loops.Wait()
 }
 
+// WindowBytes is the flow control window of gRPC connections of control. A fixed
+// one keeps gRPC from measuring the bandwidth with pings, which cost more than
+// most messages where traffic is paid for by the byte.
+const WindowBytes = 1 << 20
+
 // dial opens a connection to another control process. Keepalive probes find a
 // silent partition, after which TCP would retransmit for minutes.
 func dial(cfg *Config, address string) (*grpc.ClientConn, error) {
@@ -158,6 +163,8 @@
 	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(transportCredentials),
+		grpc.WithInitialWindowSize(WindowBytes),
+		grpc.WithInitialConnWindowSize(WindowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second, PermitWithoutStream: true}),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -249,11 +249,18 @@
 		r.tickLeader()
 		return
 	}
-	if r.electionElapsed >= r.electionTimeout && r.electable() {
+	if (r.electionElapsed >= r.electionTimeout || r.soleVoter()) && r.electable() {
 		r.campaign(PreCandidate)
 	}
 }
 
+// soleVoter reports whether there is nobody else whose leadership an election
+// could disturb.
+func (r *Raft) soleVoter() bool {
+	set := r.sets.current()
+	return len(set.GetVoters()) == 1 && len(set.OldVoters) == 0 && set.Voters[0].Id == r.cfg.Self.Id
+}
+
 func (r *Raft) tickLeader() {
 	if r.electionElapsed >= r.cfg.ElectionTicks {
 		r.electionElapsed = 0
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
+	"github.com/bilberrydeck/bilberrydeck/control"
 	"github.com/bilberrydeck/bilberrydeck/core/raft"
 )
 
@@ -25,6 +26,8 @@
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dial),
+		grpc.WithInitialWindowSize(control.WindowBytes),
+		grpc.WithInitialConnWindowSize(control.WindowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxUpdateBytes), grpc.MaxCallSendMsgSize(maxUpdateBytes)),
 	)
 }
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -90,7 +90,7 @@
 	switch {
 	case rank <= 0:
 		return chain.Critical
-	case rank <= 2:
+	case rank == 1:
 		return chain.Default
 	}
 	return chain.Sheddable
--- a/forward/local.go
+++ b/forward/local.go
@@ -29,6 +29,7 @@
 	presence *presence.Presence
 	down     bool // connections to it fail
 	changed  func(LocalUpstream)
+	told     LocalUpstream // to changed
 
 	gate       atomic.Pointer[gate.Gate]
 	leaving    atomic.Bool // the daemon stops
@@ -104,14 +105,24 @@
 	case now.State != presence.Ready && g != nil:
 		g.Drain()
 	}
-	if l.changed != nil {
-		l.changed(LocalUpstream{Upstream: now, Down: l.down})
+	l.tell(LocalUpstream{Upstream: now, Down: l.down})
+}
+
+// tell passes on a change. Each report moves the end of the warm-up a little,
+// which is no change to others.
+func (l *local) tell(u LocalUpstream) {
+	same := l.told
+	same.WarmUpTo = u.WarmUpTo
+	if l.changed == nil || same == u {
+		return
 	}
+	l.told = u
+	l.changed(u)
 }
 
 func (l *local) replaceGate(u presence.Upstream) {
 	g := gate.New(l.f.cfg.Now, admit.New(admit.Config{
-		Slots: u.Slots, MaxLimit: u.Slots, MaxQueue: queuePerSlot * u.Slots, StreamShare: uploadShare,
+		Slots: u.Slots, Fixed: true, MaxQueue: queuePerSlot * u.Slots, StreamShare: uploadShare,
 	}), u.Slots)
 	if l.leaving.Load() {
 		g.Drain()
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -5,7 +5,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
@@ -139,7 +138,6 @@
 }
 
 func upstreamsOf(members map[string]*api.FleetMember) map[string][]balance.Upstream {
-	now := steady.Now()
 	out := map[string][]balance.Upstream{}
 	for _, m := range members {
 		if m.UpstreamId == "" || m.State != api.UpstreamState_UPSTREAM_STATE_SERVING {
@@ -147,7 +145,6 @@
 		}
 		out[m.Service] = append(out[m.Service], balance.Upstream{
 			ID: m.UpstreamId, Address: m.PeerAddress, Region: m.Region, AvailabilityZone: m.AvailabilityZone, Slots: int(m.Slots),
-			UpSince: now.Add(-time.Hour), // those that were there before this daemon are warm
 		})
 	}
 	return out
