fleet, forward: leave stale control replicas at once, count calls of repeated runs

Ruled out: late commits (acknowledged 109 ms after they were sent). Change: a session whose first update is stale ends if there is an alternative; silence and staleness count from 1.2 s; heartbeats of 250 ms, without addresses on the wire. A call carries the probability that it repeats work, and the budget of the service is charged with it.

--- a/control/server.go
+++ b/control/server.go
@@ -60,7 +60,7 @@
 		s.release()
 		return nil, err
 	}
-	s.transport = newTransport(&s.cfg)
+	s.transport = newTransport(&s.cfg, s.self.Address)
 	s.serve()
 	return s, nil
 }
--- a/control/transport.go
+++ b/control/transport.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 )
@@ -26,7 +27,8 @@
 
 // transport sends replication messages, one stream per peer address.
 type transport struct {
-	cfg *Config
+	cfg    *Config
+	sender string // address at which this replica is reached
 	ctx context.Context
 	end context.CancelFunc
 
@@ -42,9 +44,9 @@
 	outbox  chan *api.ReplicaEnvelope
 }
 
-func newTransport(cfg *Config) *transport {
+func newTransport(cfg *Config, sender string) *transport {
 	ctx, end := context.WithCancel(context.Background())
-	return &transport{cfg: cfg, ctx: ctx, end: end, peers: map[string]*peer{}}
+	return &transport{cfg: cfg, sender: sender, ctx: ctx, end: end, peers: map[string]*peer{}}
 }
 
 // send queues messages to their peers and never blocks.
@@ -54,14 +56,26 @@
 			t.dropped.Add(1)
 			continue
 		}
+		address := m.To.Address
+		m.From, m.To = withoutPlace(m.From), withoutPlace(m.To)
 		select {
-		case t.peer(m.To.Address).outbox <- &api.ReplicaEnvelope{Group: group, Message: m}:
+		case t.peer(address).outbox <- &api.ReplicaEnvelope{Group: group, Message: m}:
 		default:
 			t.dropped.Add(1)
 		}
 	}
 }
 
+// withoutPlace names a replica without its address and availability zone. Each
+// message names both ends, and the address of the sender travels once for the
+// whole stream.
+func withoutPlace(ref *api.ReplicaRef) *api.ReplicaRef {
+	return &api.ReplicaRef{Id: ref.GetId(), DiskId: ref.GetDiskId()}
+}
+
+// senderKey is the gRPC metadata key of the address of the sender of a stream.
+const senderKey = "bilberrydeck-sender"
+
 func (t *transport) peer(address string) *peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -115,7 +129,7 @@
 // stream sends messages until the stream breaks. It returns nil when the peer
 // has been idle.
 func (t *transport) stream(client api.ReplicaClient, p *peer) error {
-	ctx, cancel := context.WithCancel(t.ctx)
+	ctx, cancel := context.WithCancel(metadata.AppendToOutgoingContext(t.ctx, senderKey, t.sender))
 	defer cancel()
 	stream, err := client.Deliver(ctx, grpc.WaitForReady(true))
 	if err != nil {
@@ -181,6 +195,7 @@
 // Deliver takes the replication messages of one peer.
 func (s *Server) Deliver(stream grpc.ClientStreamingServer[api.ReplicaEnvelope, api.DeliverSummary]) error {
 	received := uint64(0)
+	sender := senderOf(stream.Context())
 	for {
 		e, err := stream.Recv()
 		if err != nil {
@@ -190,6 +205,9 @@
 		if e.Message == nil || int(e.Group) >= len(s.groups) {
 			continue
 		}
+		if e.Message.From.GetAddress() == "" && e.Message.From != nil {
+			e.Message.From.Address = sender
+		}
 		select {
 		case s.groups[e.Group].inbox <- e.Message:
 		default:
@@ -197,3 +215,10 @@
 		}
 	}
 }
+
+func senderOf(ctx context.Context) string {
+	if values := metadata.ValueFromIncomingContext(ctx, senderKey); len(values) == 1 {
+		return values[0]
+	}
+	return ""
+}
--- a/core/attend/attend.go
+++ b/core/attend/attend.go
@@ -12,11 +12,12 @@
 // The periods of the choice.
 const (
 	// SilentAfter is the time without an update after which a session is given
-	// up. Updates come at least once a second.
-	SilentAfter = 1800 * time.Millisecond
+	// up. With the time to find another replica it must stay below the two seconds
+	// within which a change has to be in force.
+	SilentAfter = 1200 * time.Millisecond
 	// StaleAfter is the confirmation age above which a replica counts as cut off
-	// from its quorum. Confirmations come with each heartbeat round.
-	StaleAfter = 1800 * time.Millisecond
+	// from its quorum. It has the same bound as SilentAfter.
+	StaleAfter = 1200 * time.Millisecond
 	// returnEvery is how often a daemon that attends a distant replica tries a
 	// nearer one.
 	returnEvery = 5 * time.Second
@@ -136,6 +137,14 @@
 	c.failures[address] = failure{f.count + 1, now.Add(penalty)}
 }
 
+// Alternative reports whether there is a replica without a recent failure beside
+// the attended one.
+func (c *Chooser) Alternative(now time.Time) bool {
+	return slices.ContainsFunc(c.replicas, func(r Replica) bool {
+		return r.Address != c.attended && !now.Before(c.failures[r.Address].until)
+	})
+}
+
 // Works notes that a replica answered and is in touch with its quorum.
 func (c *Chooser) Works(address string) { delete(c.failures, address) }
 
--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -26,6 +26,8 @@
 	// daemon put the state in force. With the time for an update to arrive it
 	// stays below the two seconds within which a change must be in force.
 	confirmedWithin = 1500 * time.Millisecond
+	// watchEvery is how often a session is checked for silence.
+	watchEvery = 200 * time.Millisecond
 )
 
 // State is what an agent knows of the fleet.
@@ -225,7 +227,7 @@
 	}
 	renew := time.NewTicker(renewEvery)
 	defer renew.Stop()
-	watch := time.NewTicker(attend.SilentAfter / 6)
+	watch := time.NewTicker(watchEvery)
 	defer watch.Stop()
 	for {
 		var err error
@@ -236,7 +238,7 @@
 			if r.err != nil {
 				return r.err
 			}
-			s.take(r.update)
+			err = s.take(r.update)
 		case <-renew.C:
 			err = s.request()
 		case <-a.wake:
@@ -282,17 +284,20 @@
 	return s.stream.Send(r)
 }
 
-// take applies an update.
-func (s *attendance) take(u *api.AttendUpdate) {
+// take applies an update. It returns errStale if the session has just begun and
+// another replica may be in better touch with the quorum.
+func (s *attendance) take(u *api.AttendUpdate) error {
 	a := s.agent
 	now := a.cfg.Clock()
 	s.heard = now
 	age, known := s.age(now, u)
-	if u.ConfirmationAgeMs >= 0 && time.Duration(u.ConfirmationAgeMs)*time.Millisecond < attend.StaleAfter {
+	inTouch := u.ConfirmationAgeMs >= 0 && time.Duration(u.ConfirmationAgeMs)*time.Millisecond < attend.StaleAfter
+	if inTouch {
 		s.touched = now
 		a.chooser.Works(s.address)
 	}
-	if !s.held {
+	begun := !s.held
+	if begun {
 		s.held = true
 		a.attended.Store(&s.address)
 		a.cfg.Log.Info().Str("control", s.address).Uint64("index", u.Index).Int64("confirmation_age_ms", u.ConfirmationAgeMs).Msg("control session established")
@@ -301,6 +306,10 @@
 		a.setControls(u.Controls)
 	}
 	a.apply(u, age, known)
+	if begun && !inTouch && a.chooser.Alternative(now) {
+		return errStale
+	}
+	return nil
 }
 
 // age is an upper bound of the time since the confirmation that the update
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -23,7 +23,7 @@
 const (
 	// updateEvery is the longest time between two updates of a session. It must
 	// stay well below attend.SilentAfter.
-	updateEvery = time.Second
+	updateEvery = 500 * time.Millisecond
 	// sessionSilence is the time without a request after which a session ends;
 	// daemons send one a second.
 	sessionSilence = 4 * time.Second
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -78,6 +78,7 @@
 	r.call = call{
 		id: r.call.id, route: word(r.route.Name), kind: r.route.Kind, service: r.service.name,
 		priority: chain.NewPriority(classOf(r.route.Rank), r.call.id), deadline: r.limit,
+		repeat: f.local.load.repeatShare(),
 		method: req.Method, target: req.RequestURI, host: req.Host, header: httpwire.EndToEnd(req.Header),
 	}
 	stripOwn(r.call.header)
@@ -184,6 +185,9 @@
 	r.service.balancer.Done(r.f.cfg.Now(), choice, out)
 	if res.arrived {
 		r.sends++
+		if r.sends == 1 && r.call.repeat > 0 {
+			r.service.budget.Charge(r.f.cfg.Now(), r.call.repeat)
+		}
 	}
 	if res.failure != nil && res.failure.Outcome != chain.NotRun {
 		r.mayRun = true
@@ -212,6 +216,7 @@
 	}
 	if r.sends > 0 {
 		r.f.metrics.repeats.Inc()
+		r.call.repeat = 1
 	}
 	if res.answer != nil {
 		r.held.release()
--- a/forward/local.go
+++ b/forward/local.go
@@ -33,8 +33,7 @@
 
 	gate       atomic.Pointer[gate.Gate]
 	leaving    atomic.Bool // the daemon stops
-	running    atomic.Int64
-	repeating  atomic.Int64 // of these, requests that may have run before
+	load       runLoad
 	lastFailed atomic.Int64 // steady nanoseconds of the last call of the upstream that failed
 	ctx        context.Context
 }
@@ -211,12 +210,8 @@
 // its work was done.
 func (l *local) admitted(ctx context.Context, c *call) *result {
 	begun := l.f.cfg.Now()
-	l.running.Add(1)
-	defer l.running.Add(-1)
-	if c.attempt > 1 {
-		l.repeating.Add(1)
-		defer l.repeating.Add(-1)
-	}
+	l.load.begin(c.repeat)
+	defer l.load.end(c.repeat)
 	if !c.kind.Repeatable() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), max(c.remaining(begun)+answerMargin, 0))
@@ -338,3 +333,36 @@
 	}
 	return r
 }
+
+// runLoad counts what the upstream runs.
+type runLoad struct {
+	mu      sync.Mutex
+	running int
+	repeats float64 // of these, the expected number of those that repeat work
+}
+
+func (l *runLoad) begin(repeat float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running++
+	l.repeats += repeat
+}
+
+func (l *runLoad) end(repeat float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+	l.repeats -= repeat
+}
+
+// repeatShare is the probability that a call of the upstream belongs to a
+// request that repeats work. The upstream does not tell which request a call
+// belongs to.
+func (l *runLoad) repeatShare() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running == 0 {
+		return 0
+	}
+	return min(max(l.repeats/float64(l.running), 0), 1)
+}
--- a/forward/peerhead.go
+++ b/forward/peerhead.go
@@ -31,14 +31,15 @@
 }
 
 // formatCall writes what the gate needs to know of a call: service, upstream,
-// route, kind, priority, attempt and remaining milliseconds.
+// route, kind, priority, attempt, permille of the probability that it repeats work,
+// and remaining milliseconds.
 func formatCall(c *call, remaining time.Duration) string {
 	buf := make([]byte, 0, 96)
 	for _, word := range [...]string{c.service, c.upstream, c.route} {
 		buf = append(buf, word...)
 		buf = append(buf, ' ')
 	}
-	for i, n := range [...]int64{int64(c.kind), int64(c.priority), int64(c.attempt), max(remaining.Milliseconds(), 1)} {
+	for i, n := range [...]int64{int64(c.kind), int64(c.priority), int64(c.attempt), int64(c.repeat * 1000), max(remaining.Milliseconds(), 1)} {
 		if i > 0 {
 			buf = append(buf, ' ')
 		}
@@ -50,10 +51,10 @@
 // parseCall reads the header of formatCall into a call.
 func parseCall(value string, now time.Time, c *call) bool {
 	words := strings.Split(value, " ")
-	if len(words) != 7 {
+	if len(words) != 8 {
 		return false
 	}
-	var n [4]int64
+	var n [5]int64
 	for i, word := range words[3:] {
 		v, err := strconv.ParseInt(word, 10, 32)
 		if err != nil || v < 0 {
@@ -61,12 +62,13 @@
 		}
 		n[i] = v
 	}
-	if n[0] > int64(routing.Upload) || n[1] >= int64(chain.MaxPriority) {
+	if n[0] > int64(routing.Upload) || n[1] >= int64(chain.MaxPriority) || n[3] > 1000 {
 		return false
 	}
 	c.service, c.upstream, c.route = words[0], words[1], words[2]
 	c.kind, c.priority, c.attempt = routing.Kind(n[0]), chain.Priority(n[1]), int(n[2])
-	c.deadline = now.Add(time.Duration(n[3]) * time.Millisecond)
+	c.repeat = float64(n[3]) / 1000
+	c.deadline = now.Add(time.Duration(n[4]) * time.Millisecond)
 	return true
 }
 
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -23,11 +23,12 @@
 )
 
 // The timing of replication between VMs of several regions. Traffic between
-// zones is paid for by the byte, so heartbeats are rare; an election still ends
-// within the three seconds after which the group must work again.
+// zones is paid for by the byte, so heartbeats are no more frequent than the age
+// of confirmations asks for, which is three rounds at a follower. An election
+// ends within the three seconds after which the group must work again.
 const (
 	fleetTick           = 50 * time.Millisecond
-	fleetHeartbeatTicks = 8
+	fleetHeartbeatTicks = 5
 	fleetElectionTicks  = 24
 )
 
