--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -331,6 +331,9 @@
 	if err != nil && failure == nil {
 		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
 	}
+	if failure != nil && failure.Outcome != chain.OK {
+		r.f.local.noteFailedCall()
+	}
 	r.f.metrics.answered(failure, now.Sub(r.arrived))
 	r.f.recordAnswer(r, status, failure, now)
 }
--- a/forward/local.go
+++ b/forward/local.go
@@ -34,7 +34,7 @@
 	gate       atomic.Pointer[gate.Gate]
 	leaving    atomic.Bool // the daemon stops
 	load       runLoad
-	lastFailed atomic.Int64 // steady nanoseconds of the last call of the upstream that failed
+	lastFailed atomic.Int64 // steady nanoseconds of the last request at the entrance that failed
 	ctx        context.Context
 }
 
@@ -220,13 +220,18 @@
 	r := l.send(ctx, c)
 	took := l.f.cfg.Now().Sub(begun)
 	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError && l.lastFailed.Load() >= begun.UnixNano() {
-		r.failure.Deep = true // a call that the upstream made failed meanwhile
+		r.failure.Deep = true
 	}
 	l.f.metrics.ran(resultName(r.failure), took)
 	l.f.record(c, "ran", r.failure, l.f.cfg.Now(), took)
 	return r
 }
 
+// noteFailedCall records that a request at the entrance failed. It may be a call
+// of the upstream, which does not tell; a failure of the upstream while one
+// failed is taken as its consequence.
+func (l *local) noteFailedCall() { l.lastFailed.Store(l.f.cfg.Now().UnixNano()) }
+
 func resultName(f *chain.Failure) string {
 	if f == nil {
 		return chain.OK.String()
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -107,7 +107,7 @@
 }
 
 // Finish closes the connections that have no request, and waits for the others
-// until ctx ends. Then they are cut.
+// until ctx ends. Then they are cut, and their handlers are left behind.
 func (s *Server) Finish(ctx context.Context) {
 	s.mu.Lock()
 	s.draining, s.closed = true, true
@@ -128,5 +128,4 @@
 	for _, c := range s.snapshot() {
 		c.cut()
 	}
-	<-ended
 }
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -140,13 +140,12 @@
 }
 
 func (c *serverConn) readHead(limits Limits) (*http.Request, error) {
-	c.source.limit(limits.HeaderBytes)
+	c.source.limit(max(limits.HeaderBytes-c.reader.Buffered(), 0))
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // as above
 	req, err := http.ReadRequest(c.reader)
 	_ = c.nc.SetReadDeadline(time.Time{}) // as above
-	exceeded := c.source.exceeded()
 	c.source.unlimited()
-	if exceeded {
+	if c.source.exceeded {
 		return nil, &ParseError{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers exceed the limit"}
 	}
 	if err != nil {
@@ -276,17 +275,18 @@
 
 // meteredReader limits how much of a connection is read for one head.
 type meteredReader struct {
-	src  io.Reader
-	left int // -1 for no limit
+	src      io.Reader
+	left     int  // -1 for no limit
+	exceeded bool // more than the limit was asked for
 }
 
-func (m *meteredReader) limit(n int)    { m.left = n }
-func (m *meteredReader) unlimited()     { m.left = -1 }
-func (m *meteredReader) exceeded() bool { return m.left == 0 }
+func (m *meteredReader) limit(n int) { m.left, m.exceeded = n, false }
+func (m *meteredReader) unlimited()  { m.left = -1 }
 
 // Read implements io.Reader.
 func (m *meteredReader) Read(p []byte) (int, error) {
 	if m.left == 0 {
+		m.exceeded = true
 		return 0, io.EOF
 	}
 	if m.left > 0 && len(p) > m.left {
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -20,6 +20,7 @@
 	"github.com/bilberrydeck/bilberrydeck/internal/tcpopt"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 	"github.com/bilberrydeck/bilberrydeck/platform"
+	"github.com/bilberrydeck/bilberrydeck/storage"
 )
 
 // The timing of replication between VMs of several regions. Traffic between
@@ -48,19 +49,43 @@
 	p := &fleetProcess{settings: s, path: path, reload: reload, logger: logger}
 	for {
 		err = p.runReplica(ctx)
-		var removed *control.RemovedError
-		if !errors.As(err, &removed) {
+		if ctx.Err() != nil || !p.recover(ctx, err) {
 			break
 		}
+	}
+	logStopped(logger, "control", err)
+	return err
+}
+
+// diskRetry is the pause before a replica whose disk failed is started again.
+const diskRetry = 500 * time.Millisecond
+
+// recover prepares another start after an error that does not concern the whole
+// process. It reports whether there is one to make.
+func (p *fleetProcess) recover(ctx context.Context, err error) bool {
+	var removed *control.RemovedError
+	var disk *storage.SyncError
+	switch {
+	case errors.As(err, &removed):
 		// Its data is of no use to the group any more; it joins as a new replica.
-		logger.Warn().Uint64("replica", removed.Replica).Msg("replaced by the group; starting anew without state")
+		p.logger.Warn().Uint64("replica", removed.Replica).Msg("replaced by the group; starting anew without state")
 		p.settings.FirstStart = false
-		if err = os.RemoveAll(p.directory()); err != nil {
-			break
+		if err := os.RemoveAll(p.directory()); err != nil {
+			p.logger.Error().Err(err).Msg("data of the former replica cannot be removed")
+			return false
+		}
+		return true
+	case errors.As(err, &disk):
+		// What a failed write has left is known only after the files were read
+		// again, as after a crash. A full disk may have room again later.
+		p.logger.Error().Err(err).Msg("disk failed; starting again from what it holds")
+		select {
+		case <-time.After(diskRetry):
+		case <-ctx.Done():
 		}
+		return true
 	}
-	logStopped(logger, "control", err)
-	return err
+	return false
 }
 
 func (p *fleetProcess) directory() string { return filepath.Join(p.settings.DataDir, replicaDirectory) }
