--- a/core/raft/heartbeat.go
+++ b/core/raft/heartbeat.go
@@ -57,8 +57,10 @@
 
 // leaderRounds numbers the heartbeat rounds of one term of leadership.
 type leaderRounds struct {
-	sequence uint64
-	open     []round
+	sequence  uint64
+	open      []round
+	committed bool // an entry of the term is committed
+	confirmed bool // a round after that was confirmed
 }
 
 type round struct {
@@ -125,10 +127,22 @@
 		r.rounds.open = r.rounds.open[1:]
 		if o.commit > 0 {
 			r.confirm.add(confirmation{o.start, o.commit}, r.log.committed)
+			r.hastenFirst(&r.rounds.confirmed)
 		}
 	}
 }
 
+// hastenFirst starts a round at once when a new leader reaches a step after which
+// a round tells more: the others, and those that they serve, wait for it.
+func (r *Raft) hastenFirst(reached *bool) {
+	if r.role != Leader || *reached {
+		return
+	}
+	*reached = true
+	r.heartbeatElapsed = 0
+	r.broadcastHeartbeat()
+}
+
 // committedInTerm reports whether an entry of the current term is committed.
 func (r *Raft) committedInTerm() bool {
 	t, ok := r.log.term(r.log.committed)
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -150,6 +150,7 @@
 	})
 	if term, ok := r.log.term(index); ok && term == r.term {
 		r.commitTo(index)
+		r.hastenFirst(&r.rounds.committed)
 	}
 	r.continueReplacement()
 }
--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -25,6 +25,9 @@
 	// connection across regions to a busy VM, and is short since a frozen VM still
 	// accepts connections.
 	openTimeout = 500 * time.Millisecond
+	// scoutEvery is the shortest time between two looks for a better replica while
+	// there is one; during an outage of control that one tells when it is over.
+	scoutEvery = 250 * time.Millisecond
 	// dropAfter is the silence after which a session is closed even if there is no
 	// other one.
 	dropAfter = 4 * time.Second
@@ -78,23 +81,24 @@
 	state State
 	main  *session // nil if there is none
 	scout *session // a replica that may become the main one
+	// scouted is when the last scout was sent.
+	scouted time.Time
 
 	confirmed atomic.Bool
 	attended  atomic.Pointer[string]
 }
 
-// NewAgent returns an agent that works while Run does. The member describes the
-// upstream beside the daemon; Announce replaces it.
-func NewAgent(cfg AgentConfig, member *api.FleetMember) *Agent {
-	a := &Agent{
+// NewAgent returns an agent that works while Run does. The daemon becomes a member
+// with the first Announce.
+func NewAgent(cfg AgentConfig) *Agent {
+	return &Agent{
 		cfg: cfg, boot: rand.Uint64(), chooser: attend.New(cfg.Zone, cfg.Region, cfg.Seeds, cfg.Seed), events: make(chan event),
 		wake: make(chan struct{}, 1), state: State{Members: map[string]*api.FleetMember{}},
 	}
-	a.Announce(member)
-	return a
 }
 
-// Announce replaces the member entry of the daemon.
+// Announce replaces the member entry of the daemon, which describes the upstream
+// beside it.
 func (a *Agent) Announce(member *api.FleetMember) {
 	m := proto.CloneOf(member)
 	m.PeerAddress, m.Region, m.AvailabilityZone, m.Boot = a.cfg.Address, a.cfg.Region, a.cfg.Zone, a.boot
@@ -196,9 +200,10 @@
 		a.fail(&a.main, errSilent)
 	}
 	wanted := a.main == nil || !a.main.works(now) || a.chooser.Nearer(now)
-	if !wanted || a.scout != nil {
+	if !wanted || a.scout != nil || a.main != nil && now.Sub(a.scouted) < scoutEvery {
 		return
 	}
+	a.scouted = now
 	if address := a.chooser.Next(now); address != "" {
 		a.scout = a.open(ctx, address)
 	}
@@ -298,7 +303,7 @@
 // request renews a session. Only the main one announces the member entry.
 func (a *Agent) request(s **session) {
 	r := &api.AttendRequest{}
-	if m := a.current(); s == &a.main && m != (*s).member {
+	if m := a.current(); s == &a.main && m != nil && m != (*s).member {
 		(*s).member, r.Member = m, m
 	}
 	if (*s).sequence == 0 {
--- a/fleet/attendee.go
+++ b/fleet/attendee.go
@@ -83,7 +83,7 @@
 	ticker := time.NewTicker(updateEvery)
 	defer ticker.Stop()
 	for {
-		changed := source.Changed() // taken before the state is read
+		changed, regained := source.Changed(), at.service.touch.regained() // taken before the state is read
 		u := at.update()
 		if current := at.service.controls(); !sameReplicas(current, controls) {
 			controls, u.Controls = current, current
@@ -97,6 +97,8 @@
 			return context.Cause(ctx)
 		case <-changed:
 			ticker.Reset(updateEvery)
+		case <-regained:
+			ticker.Reset(updateEvery)
 		case <-ticker.C:
 			if at.silent() {
 				return errSilentSession
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -169,7 +169,8 @@
 	d.Agent = NewAgent(AgentConfig{
 		Address: address, Zone: zone, Region: "region", RegionOf: func(string) string { return "region" }, Seeds: g.seeds[:1], Dial: g.dial,
 		Log: logging.New(io.Discard), Clock: time.Now, Changed: d.changed,
-	}, &api.FleetMember{Service: "orders"})
+	})
+	d.Announce(&api.FleetMember{Service: "orders"})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -49,7 +49,8 @@
 	sessions map[string]*attendee // by peer address, those that announced themselves
 	unheld   map[string]time.Time
 
-	wake chan struct{} // an announcement is to be proposed
+	wake  chan struct{} // an announcement is to be proposed
+	touch touch
 
 	api.UnimplementedFleetServer
 }
@@ -59,7 +60,7 @@
 func NewService(logger *log.Logger, clock func() time.Time, dial Dial) *Service {
 	return &Service{
 		log: logger, clock: clock, leader: leaderLink{dial: dial},
-		sessions: map[string]*attendee{}, unheld: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		sessions: map[string]*attendee{}, unheld: map[string]time.Time{}, wake: make(chan struct{}, 1), touch: newTouch(),
 	}
 }
 
@@ -71,6 +72,7 @@
 	defer s.leader.close()
 	ticker := time.NewTicker(reconcileEvery)
 	defer ticker.Stop()
+	go s.watchTouch(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,6 +84,20 @@
 	}
 }
 
+// watchTouch runs beside the proposals, which may wait for a leader.
+func (s *Service) watchTouch(ctx context.Context) {
+	ticker := time.NewTicker(touchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.touch.look(s.control.ConfirmationAge())
+		}
+	}
+}
+
 func (s *Service) nudge() {
 	select {
 	case s.wake <- struct{}{}:
--- a/forward/view.go
+++ b/forward/view.go
@@ -22,6 +22,7 @@
 	matcher  *routing.Matcher
 	splits   map[*routing.Route]*routing.Split
 	services map[string]*service
+	slots    map[string]int // of the upstreams of the local service, by id
 }
 
 // service is what this daemon knows of one service.
@@ -48,10 +49,10 @@
 	}
 	before := f.view.Load()
 	if before != nil && before.table == fleet.Table {
-		f.publish(before.table, before.matcher, before.splits)
+		f.publish(fleet, before.matcher, before.splits)
 		return
 	}
-	f.publish(fleet.Table, routing.NewMatcher(fleet.Table), f.newSplits(fleet.Table))
+	f.publish(fleet, routing.NewMatcher(fleet.Table), f.newSplits(fleet.Table))
 	f.cfg.Logger.Info().Uint64("configuration", fleet.Table.Number).Int("routes", len(fleet.Table.Routes)).
 		Int("services", len(fleet.Table.Services)).Msg("configuration in force")
 }
@@ -90,12 +91,16 @@
 // with the same target of a split.
 func (f *Forwarder) skip() int { return int(f.cfg.Seed % 1000) }
 
-func (f *Forwarder) publish(table *routing.Table, m *routing.Matcher, splits map[*routing.Route]*routing.Split) {
+func (f *Forwarder) publish(fleet Fleet, m *routing.Matcher, splits map[*routing.Route]*routing.Split) {
 	services := make(map[string]*service, len(f.services))
 	for name, s := range f.services {
 		services[name] = s
 	}
-	f.view.Store(&view{table: table, matcher: m, splits: splits, services: services})
+	slots := map[string]int{}
+	for _, u := range fleet.Upstreams[f.cfg.Service] {
+		slots[u.ID] = u.Slots
+	}
+	f.view.Store(&view{table: fleet.Table, matcher: m, splits: splits, services: services, slots: slots})
 }
 
 // limits are those of the configuration in force.
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -12,13 +12,12 @@
 
 const (
 	// reconnectEvery is how often an upstream that accepts no connections is
-	// tried again.
-	reconnectEvery = 250 * time.Millisecond
+	// tried again, and one that has not reported is looked for.
+	reconnectEvery = 100 * time.Millisecond
 	// probeTimeout bounds the health check of an upstream that has not reported.
 	probeTimeout = time.Second
-	// probeEvery is the interval of these checks.
-	probeEvery = 500 * time.Millisecond
-	// probedSlots is the concurrency assumed for an upstream until it reports.
+	// probedSlots is the concurrency assumed until it reports for an upstream that
+	// the fleet does not know either.
 	probedSlots = 8
 )
 
@@ -51,19 +50,17 @@
 	l.mu.Lock()
 	l.ctx = ctx
 	l.mu.Unlock()
-	probed := time.Time{}
 	ticker := time.NewTicker(reconnectEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
 			if l.isDown() {
 				l.tryConnect(ctx)
 			}
-			if l.unknown() && now.Sub(probed) >= probeEvery {
-				probed = now
+			if l.unknown() {
 				l.probe(ctx)
 			}
 		}
@@ -128,7 +125,11 @@
 func (l *local) found(id string, ready bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.presence.Probed(id, probedSlots, ready) {
+	slots := probedSlots
+	if v := l.f.view.Load(); v != nil && v.slots[id] > 0 {
+		slots = v.slots[id]
+	}
+	if l.presence.Probed(id, slots, ready) {
 		l.f.cfg.Logger.Info().Str("upstream", id).Bool("ready", ready).Msg("upstream found by a health check")
 		l.update(presence.Upstream{})
 	}
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -5,6 +5,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
@@ -43,6 +44,7 @@
 	forwarder *forward.Forwarder
 	agent     *fleet.Agent
 	table     atomic.Pointer[routing.Table]
+	announced atomic.Bool
 }
 
 func (d *fleetDaemon) run(ctx context.Context) error {
@@ -60,7 +62,7 @@
 	d.agent = fleet.NewAgent(fleet.AgentConfig{
 		Address: s.PeerAddress, Region: s.Region, Zone: s.AvailabilityZone, RegionOf: func(zone string) string { return s.RegionOf[zone] },
 		Seeds: s.Seeds, Dial: dialControl, Log: d.logger, Clock: steady.Now, Seed: newSeed(), Changed: d.changed,
-	}, &api.FleetMember{Service: s.Service, State: api.UpstreamState_UPSTREAM_STATE_STARTING})
+	})
 	d.forwarder.OnUpstreamChange(d.announce)
 	return d.serve(ctx)
 }
@@ -75,6 +77,8 @@
 	if err := serveHTTP(running, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.logger); err != nil {
 		return err
 	}
+	unknown := time.AfterFunc(unknownAfter, d.announceUnknown)
+	defer unknown.Stop()
 	var parts sync.WaitGroup
 	parts.Go(func() { d.agent.Run(running) })
 	parts.Go(func() { platform.WatchSettings(running, d.path, d.reload, d.logger, d.reloaded) })
@@ -92,8 +96,21 @@
 	}
 }
 
+// unknownAfter is how long a daemon that has just started waits for news of its
+// upstream before it replaces the entry of its former run. That entry is right as
+// a rule: the daemon was restarted and the upstream was not.
+const unknownAfter = 3 * time.Second
+
+// announceUnknown tells the fleet that no upstream is known here.
+func (d *fleetDaemon) announceUnknown() {
+	if !d.announced.Load() {
+		d.announce(forward.LocalUpstream{})
+	}
+}
+
 // announce tells the fleet of a change of the local upstream.
 func (d *fleetDaemon) announce(u forward.LocalUpstream) {
+	d.announced.Store(true)
 	m := &api.FleetMember{Service: d.settings.Service, UpstreamId: u.ID, Slots: uint32(u.Slots)}
 	switch {
 	case u.State == presence.Draining:
