core/raft: random schedules add voters and learners, promote and drop them

Cause: the replica set changes in new ways; the schedules only replaced voters. Ruled out: a separate world for them (faults would not overlap).

--- a/core/raft/schedule_test.go
+++ b/core/raft/schedule_test.go
@@ -47,7 +47,7 @@
 	case p < 983:
 		w.loseDisk()
 	default:
-		w.replace()
+		w.changeSet()
 	}
 }
 
@@ -206,44 +206,107 @@
 		alive := func(v uint64) bool {
 			return v != n.ref.Id && sameReplica(find(set, v), w.nodes[v].ref)
 		}
-		if len(set.Learners) > 0 && !quorum(jointSet(set), alive) || !quorum(set, alive) {
+		if promoting(set) != 0 && !quorum(jointSet(set), alive) || !quorum(set, alive) {
 			return false
 		}
 	}
 	return true
 }
 
-// replace asks a leader to swap a voter, preferably one that lost its disk.
-func (w *world) replace() {
+// changeSet asks a leader to swap a voter, preferably one that lost its disk, to
+// add a voter or a learner, to make a learner a voter or to drop one.
+func (w *world) changeSet() {
 	for _, id := range w.ids() {
 		n := w.nodes[id]
-		set := n.raft.sets.current()
-		if n.raft.role != Leader || n.paused || len(w.nodes) > 12 {
+		if n.raft.role != Leader || n.paused {
 			continue
 		}
-		old := set.Voters[w.random.IntN(len(set.Voters))]
-		for _, v := range set.Voters {
-			if !sameReplica(v, w.nodes[v.Id].ref) {
-				old = v
-			}
-		}
-		if len(set.Learners) > 0 && !sameReplica(set.Learners[0], w.nodes[set.Learners[0].Id].ref) {
-			old = set.Learners[0]
+		switch choice := w.random.IntN(8); {
+		case w.fault != noFault || choice < 4:
+			w.replace(n)
+		case choice == 4:
+			w.add(n, func(ref *api.ReplicaRef) error {
+				_, _, err := n.raft.ProposeReplace(0, ref)
+				return err
+			})
+		case choice == 5:
+			w.add(n, n.raft.ProposeLearner)
+		default:
+			w.moveLearner(n, choice == 6)
 		}
-		added := w.addNode()
-		if w.fault == swapWithoutJoint {
-			w.swap(n, old, added.ref)
-			return
-		}
-		if _, _, err := n.raft.ProposeReplace(old.Id, added.ref); err != nil {
-			delete(w.nodes, added.ref.Id)
-			w.nextID--
-			return
-		}
-		w.replaced++
+		return
+	}
+}
+
+// add adds a new replica by a proposal, unless there are many already.
+func (w *world) add(n *node, propose func(*api.ReplicaRef) error) {
+	if len(w.nodes) > maxNodes || len(n.raft.sets.current().Voters) >= maxVoters {
+		return
+	}
+	added := w.addNode()
+	if propose(added.ref) != nil {
+		w.forget(added)
+		return
+	}
+	w.added++
+	w.handle(n, 0)
+}
+
+// moveLearner makes a learner a voter or drops it.
+func (w *world) moveLearner(n *node, promote bool) {
+	learners := n.raft.sets.current().Learners
+	if len(learners) == 0 {
+		return
+	}
+	ref := learners[w.random.IntN(len(learners))]
+	var err error
+	if promote && sameReplica(ref, w.nodes[ref.Id].ref) && len(n.raft.sets.current().Voters) < maxVoters {
+		_, _, err = n.raft.ProposeReplace(0, ref)
+	} else {
+		err = n.raft.DropLearner(ref.Id)
+	}
+	if err == nil {
 		w.handle(n, 0)
+	}
+}
+
+// Bounds of the world: more replicas only make schedules slower.
+const (
+	maxNodes  = 12
+	maxVoters = 7
+)
+
+func (w *world) forget(n *node) {
+	delete(w.nodes, n.ref.Id)
+	w.nextID--
+}
+
+// replace asks a leader to swap a voter.
+func (w *world) replace(n *node) {
+	if len(w.nodes) > maxNodes {
 		return
 	}
+	set := n.raft.sets.current()
+	old := set.Voters[w.random.IntN(len(set.Voters))]
+	for _, v := range set.Voters {
+		if !sameReplica(v, w.nodes[v.Id].ref) {
+			old = v
+		}
+	}
+	if l := find(set, promoting(set)); l != nil && !sameReplica(l, w.nodes[l.Id].ref) {
+		old = l
+	}
+	added := w.addNode()
+	if w.fault == swapWithoutJoint {
+		w.swap(n, old, added.ref)
+		return
+	}
+	if _, _, err := n.raft.ProposeReplace(old.Id, added.ref); err != nil {
+		w.forget(added)
+		return
+	}
+	w.replaced++
+	w.handle(n, 0)
 }
 
 func (w *world) swap(n *node, old, added *api.ReplicaRef) {
@@ -347,7 +410,7 @@
 // TestSchedules guards the safety of the core under random schedules of
 // faults, and its progress once they have ended.
 func TestSchedules(t *testing.T) {
-	total := struct{ committed, installed, replaced, leaders, runs int }{}
+	total := struct{ committed, installed, replaced, added, leaders, runs int }{}
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		replicas := rapid.SampledFrom([]int{1, 3, 3, 3, 5}).Draw(t, "replicas")
@@ -359,12 +422,14 @@
 		total.committed += len(w.committed)
 		total.installed += w.installed
 		total.replaced += w.replaced
+		total.added += w.added
 		total.leaders += len(w.leaders)
 		total.runs++
 	})
 	t.Logf("%+v", total)
 	require.Positive(t, total.installed, "no schedule installed a snapshot")
 	require.Positive(t, total.replaced, "no schedule replaced a replica")
+	require.Positive(t, total.added, "no schedule added a replica")
 }
 
 // TestChecksNotice shows that each check notices the rule it guards: every
--- a/core/raft/world_test.go
+++ b/core/raft/world_test.go
@@ -50,7 +50,8 @@
 	times     []time.Time          // when an entry was first known as committed
 	acked     map[uint64]string    // proposals that got an answer, by index
 	installed int                  // snapshots installed
-	replaced  int                  // replacements completed
+	replaced  int                  // replacements proposed
+	added     int                  // additions proposed
 	waiting   map[[2]uint64]string // proposals by index and term
 	disks     int
 }
