--- a/cmd/bilberrydeck/check.go
+++ b/cmd/bilberrydeck/check.go
@@ -28,9 +28,10 @@
 	f := newFlags(e, "check", "[-json] FILE|DIR...",
 		"Validates declaration files (bilberrydeck.json) and settings files\n"+
 			"(*.settings.json) without running anything. All declarations together are\n"+
-			"checked as one set. Prints one line for each problem; warnings alone are no\n"+
-			"failure.",
-		"check .", "check examples/pantdent", "check -json /etc/bilberrydeck/daemon.settings.json")
+			"checked as one set. Files of the users' platform (*.toml) that are named\n"+
+			"themselves are settings or, with roles, the deploy file. Prints one line for\n"+
+			"each problem; warnings alone are no failure.",
+		"check .", "check examples/pantdent", "check deploy/system.toml", "check -json /etc/bilberrydeck/daemon.settings.json")
 	asJSON := f.Bool("json", false, "print the result as JSON")
 	if err := parseFlags(f, args, 1, -1); err != nil {
 		return err
--- a/cmd/bilberrydeck/fleet.go
+++ b/cmd/bilberrydeck/fleet.go
@@ -43,5 +43,7 @@
 	defer stop()
 	release := context.AfterFunc(forced, func() { os.Exit(exitFailed) })
 	defer release()
-	return run(ctx, *file, reload, logging.New(e.stdout))
+	logger, flush := logging.NewProcess(e.stdout)
+	defer flush()
+	return run(ctx, *file, reload, logger)
 }
--- a/cmd/bilberrydeck/main.go
+++ b/cmd/bilberrydeck/main.go
@@ -43,6 +43,7 @@
 		{"check", "validate declaration and settings files", runCheck},
 		{"status", "show the state of control or of a daemon", runStatus},
 		{"replica", "replace a lost control replica", runReplica},
+		{"explain", "tell from logs what became of a request", runExplain},
 		{"demo", "show the system under overload on this machine", runDemo},
 		{"loadtest", "measure the request path under overload", runLoadtest},
 		{"version", "print the version of the program", runVersion},
--- a/control/service.go
+++ b/control/service.go
@@ -105,6 +105,10 @@
 // there was no confirmation since the start.
 func (s *Server) ConfirmationAge() (time.Duration, bool) { return s.configuration().age() }
 
+// DroppedMessages is the number of replication messages that found the queue to
+// their peer full.
+func (s *Server) DroppedMessages() uint64 { return s.transport.dropped.Load() }
+
 // Status describes this replica as it sees itself.
 func (s *Server) Status(context.Context, *api.StatusRequest) (*api.StatusResponse, error) {
 	res := &api.StatusResponse{Replica: s.cfg.ReplicaID, Version: s.source.Version(), Daemons: s.reports.list(s.cfg.Clock())}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -87,7 +87,9 @@
 type Choice struct {
 	Upstream Upstream
 	Tier     Tier
-	Usable   int // upstreams that were candidates in that tier, for the decision log
+	Usable   int           // upstreams that were candidates in that tier, for the decision log
+	Load     admit.Report  // last load that the upstream reported, for the decision log
+	LoadAge  time.Duration // time since that report; negative if there was none
 	member   *member
 	bytes    int64 // taken from the link budget
 }
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -114,7 +114,11 @@
 		}
 	}
 	m.inFlight++
-	return Choice{Upstream: m.up, Tier: m.tier, Usable: len(candidates), member: m, bytes: bytes}, true
+	age := time.Duration(-1)
+	if !m.reportAt.IsZero() {
+		age = now.Sub(m.reportAt)
+	}
+	return Choice{Upstream: m.up, Tier: m.tier, Usable: len(candidates), Load: m.report, LoadAge: age, member: m, bytes: bytes}, true
 }
 
 // linkReserve is the part of a link budget that a request must leave, so that
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,149 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Log is one log to be searched.
+type Log struct {
+	Name string
+	Read io.Reader
+}
+
+// Story is what the logs tell of a request.
+type Story struct {
+	ID         string
+	Lines      []*Line // of the request itself, in order
+	Below      []*Line // answers to calls that were made for it, as far as ids show
+	Context    []*Line // changes of belief on the VMs concerned, from just before it to its end
+	Unreadable int     // lines of all logs that could not be read
+	Dropped    []*Line // places where the logs say that lines are missing
+	Causes     []string
+}
+
+// contextBefore is how long before a request changes of belief still explain it.
+const contextBefore = 3 * time.Second
+
+// Explain searches logs for a request. Lines of calls below it are found if their
+// ids begin with its id and a dot, as on platforms whose ids tell.
+func Explain(id string, logs []Log) (*Story, error) {
+	s := &Story{ID: id}
+	var events []*Line
+	for _, log := range logs {
+		unreadable, err := ReadLog(log.Name, log.Read, func(l *Line) { s.sort(l, &events) })
+		if err != nil {
+			return nil, fmt.Errorf("log %s: %w", log.Name, err)
+		}
+		s.Unreadable += unreadable
+	}
+	for _, list := range [][]*Line{s.Lines, s.Below} {
+		slices.SortStableFunc(list, byTime)
+	}
+	s.relate(events)
+	s.Causes = causes(s)
+	return s, nil
+}
+
+func byTime(a, b *Line) int {
+	if c := a.At.Compare(b.At); c != 0 || a.Source != b.Source {
+		return c
+	}
+	return a.Order - b.Order
+}
+
+// sort puts a line where it belongs.
+func (s *Story) sort(l *Line, events *[]*Line) {
+	request := l.Field("request")
+	switch {
+	case request == s.ID:
+		s.Lines = append(s.Lines, l)
+	case strings.HasPrefix(request, s.ID+"."):
+		if l.Event == "answer" {
+			s.Below = append(s.Below, l)
+		}
+	case request == "":
+		*events = append(*events, l)
+	}
+}
+
+// relate keeps the events of the VMs that the request passed, around its time.
+func (s *Story) relate(events []*Line) {
+	if len(s.Lines) == 0 {
+		return
+	}
+	from, to := s.Lines[0].At.Add(-contextBefore), s.Lines[len(s.Lines)-1].At
+	sources := map[string]bool{}
+	for _, l := range s.Lines {
+		sources[l.Source] = true
+	}
+	for _, l := range events {
+		if !sources[l.Source] || l.At.Before(from) || l.At.After(to) {
+			continue
+		}
+		if l.Event == "decisions not written" {
+			s.Dropped = append(s.Dropped, l)
+			continue
+		}
+		s.Context = append(s.Context, l)
+	}
+	slices.SortStableFunc(s.Context, byTime)
+}
+
+// answered is the line of the final answer, nil if the logs have none.
+func (s *Story) answered() *Line {
+	for _, l := range slices.Backward(s.Lines) {
+		if l.Event == "answer" {
+			return l
+		}
+	}
+	return nil
+}
+
+// Print writes the story.
+func (s *Story) Print(w io.Writer) error {
+	var b strings.Builder
+	if len(s.Lines) == 0 {
+		fmt.Fprintf(&b, "no line names request %s\n", s.ID)
+	}
+	for _, l := range s.Lines {
+		fmt.Fprintf(&b, "%s  %-24s %-10s %s\n", l.At.Format("15:04:05.000"), l.Source, l.Event, details(l))
+	}
+	if len(s.Below) > 0 {
+		fmt.Fprintf(&b, "\ncalls below it:\n")
+		for _, l := range s.Below {
+			fmt.Fprintf(&b, "%s  %-24s %-10s %s\n", l.At.Format("15:04:05.000"), l.Source, l.Field("request")[len(s.ID)+1:], details(l))
+		}
+	}
+	if len(s.Context) > 0 {
+		fmt.Fprintf(&b, "\non the same VMs, from %s before it:\n", contextBefore)
+		for _, l := range s.Context {
+			fmt.Fprintf(&b, "%s  %-24s %s %s\n", l.At.Format("15:04:05.000"), l.Source, l.Event, details(l))
+		}
+	}
+	fmt.Fprintf(&b, "\nlikely cause:\n")
+	for _, c := range s.Causes {
+		fmt.Fprintf(&b, "- %s\n", c)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// details lists the fields of a line, without those that all lines share.
+func details(l *Line) string {
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		if name != "request" && name != "depth" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, name+"="+l.Fields[name])
+	}
+	return strings.Join(parts, " ")
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -231,3 +231,16 @@
 func (s *Service) readFleet(read func(*state.Fleet)) {
 	s.control.Read(func(m control.Machine) { read(m.(*state.Fleet)) })
 }
+
+// Number is the number of the current configuration as this replica knows it.
+func (s *Service) Number() (number uint64) {
+	s.readFleet(func(f *state.Fleet) { number = f.Number() })
+	return number
+}
+
+// Sessions is the number of daemons that rely on this replica.
+func (s *Service) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -43,6 +43,7 @@
 		r.refuse(&result{failure: failure})
 		return
 	}
+	f.record(&r.call, "received", nil, f.cfg.Now(), f.cfg.Now().Sub(r.arrived))
 	ctx, cancel := context.WithDeadline(x.Context(), x.Arrived.Add(r.limit.Sub(r.arrived)+r.margin()))
 	defer cancel()
 	r.finish(r.run(ctx))
@@ -328,6 +329,9 @@
 // answered records the end of a request.
 func (r *request) answered(failure *chain.Failure, status int, err error) {
 	now := r.f.cfg.Now()
+	if r.x.ClientGone() && failure != nil && failure.Reason != chain.ReasonCancelled {
+		failure = chain.Wrap(failure.Outcome, chain.ReasonCancelled, "the client has left", failure)
+	}
 	if err != nil && failure == nil {
 		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 	"github.com/bilberrydeck/bilberrydeck/logging"
@@ -53,9 +54,18 @@
 		return nil, err
 	}
 	f.decisions = logging.NewDecisions(cfg.Logger, logging.DefaultQueue)
+	f.gauges()
 	return f, nil
 }
 
+// gateLoad is the load of the local gate, zero without an upstream.
+func (f *Forwarder) gateLoad() admit.Report {
+	if g := f.local.gate.Load(); g != nil {
+		return g.Report()
+	}
+	return admit.Report{}
+}
+
 // Addresses returns the addresses listened on.
 func (f *Forwarder) Addresses() (entrance, peer string) {
 	return f.entranceSocket.Addr().String(), f.inboundSock.Addr().String()
--- a/forward/local.go
+++ b/forward/local.go
@@ -184,7 +184,7 @@
 	}
 	waited := l.f.cfg.Now().Sub(entered)
 	l.f.metrics.gateWait.Update(waited.Seconds())
-	l.f.record(c, "admit", nil, l.f.cfg.Now(), waited)
+	l.f.recordGate(c, "admit", g.Report(), nil, waited)
 	r := l.admitted(ctx, c)
 	g.Leave(t, 0, admit.Result{OK: r.failure == nil || r.failure.Outcome == chain.NotRun || r.failure.Deep, Cancelled: isCancelled(r.failure)})
 	report := g.Report()
@@ -196,12 +196,14 @@
 
 func (l *local) refuse(c *call, failure *chain.Failure, after time.Duration) *result {
 	l.f.metrics.refused(failure)
-	l.f.record(c, "refuse", failure, l.f.cfg.Now(), 0)
 	r := &result{failure: failure, retryAfter: after}
 	if g := l.gate.Load(); g != nil {
 		report := g.Report()
 		r.report = &report
+		l.f.recordGate(c, "refuse", report, failure, 0)
+		return r
 	}
+	l.f.record(c, "refuse", failure, l.f.cfg.Now(), 0)
 	return r
 }
 
--- a/forward/record.go
+++ b/forward/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/logging"
@@ -11,33 +12,50 @@
 // record writes a decision on a call to the decision log.
 func (f *Forwarder) record(c *call, event string, failure *chain.Failure, now time.Time, elapsed time.Duration) {
 	d := f.decision(c, event, now, elapsed)
+	noteFailure(&d, failure)
+	f.decisions.Record(d)
+}
+
+func noteFailure(d *logging.Decision, failure *chain.Failure) {
 	if failure != nil {
 		d.Outcome, d.Reason = failure.Outcome.String(), string(failure.Reason)
 	}
-	f.decisions.Record(d)
 }
 
 func (f *Forwarder) decision(c *call, event string, now time.Time, elapsed time.Duration) logging.Decision {
 	return logging.Decision{
 		Event: event, RequestID: c.id, Service: c.service, Route: c.route, Upstream: c.upstream, Attempt: uint32(c.attempt),
-		Priority: uint16(c.priority), Remaining: c.remaining(now), Elapsed: elapsed,
+		Priority: uint16(c.priority), Configuration: f.Number(), Remaining: c.remaining(now), Elapsed: elapsed,
 	}
 }
 
-// recordChoice writes which upstream was chosen.
+// recordChoice writes which upstream was chosen, and what was known of its load.
 func (f *Forwarder) recordChoice(c *call, choice balance.Choice, now time.Time, elapsed time.Duration) {
 	d := f.decision(c, "route", now, elapsed)
-	d.Reason = choice.Tier.String()
+	d.Tier, d.Usable = choice.Tier.String(), choice.Usable
+	if choice.LoadAge >= 0 {
+		d.Load = loadOf(choice.Load, choice.LoadAge)
+	}
 	f.decisions.Record(d)
 }
 
+// recordGate writes what the gate decided, with its load.
+func (f *Forwarder) recordGate(c *call, event string, load admit.Report, failure *chain.Failure, elapsed time.Duration) {
+	d := f.decision(c, event, f.cfg.Now(), elapsed)
+	d.Load = loadOf(load, 0)
+	noteFailure(&d, failure)
+	f.decisions.Record(d)
+}
+
+func loadOf(r admit.Report, age time.Duration) logging.Load {
+	return logging.Load{Known: true, Level: int(r.Level), Limit: r.Limit, InFlight: r.InFlight, Queued: r.Queued, Age: age}
+}
+
 // recordAnswer writes what a client was answered.
 func (f *Forwarder) recordAnswer(r *request, status int, failure *chain.Failure, now time.Time) {
 	d := f.decision(&r.call, "answer", now, now.Sub(r.arrived))
 	d.Status = status
 	d.Outcome = chain.OK.String()
-	if failure != nil {
-		d.Outcome, d.Reason = failure.Outcome.String(), string(failure.Reason)
-	}
+	noteFailure(&d, failure)
 	f.decisions.Record(d)
 }
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -73,6 +73,12 @@
 	return l.down
 }
 
+func (l *local) state() presence.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.presence.Current().State
+}
+
 // unknown reports whether no run of the upstream is known at all.
 func (l *local) unknown() bool {
 	l.mu.Lock()
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -26,6 +26,20 @@
 
 var lines = sync.Pool{New: func() any { b := make([]byte, 0, 512); return &b }}
 
+// processQueue is the number of lines that may wait for a slow reader of the
+// output of a process.
+const processQueue = 8192
+
+// NewProcess returns a logger for the output of a process, and a function that
+// writes what is queued. It never blocks: lines that a slow reader leaves no room
+// for are dropped.
+func NewProcess(w io.Writer) (*Logger, func()) {
+	l := New(w)
+	queue := &log.AsyncWriter{ChannelSize: processQueue, DiscardOnFull: true, Writer: l.Writer}
+	l.Writer = queue
+	return l, func() { _ = queue.Close() } // nothing can be done about lines that cannot be written
+}
+
 // writeKeyValues formats one event. The library's own logfmt formatter leaves
 // the message without a key.
 func writeKeyValues(w io.Writer, args *log.FormatterArgs) (int, error) {
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -65,12 +65,16 @@
 
 // loadFleetSettings reads the settings and logs what is ignored of them.
 func loadFleetSettings(path string, logger *logging.Logger) (platform.Settings, error) {
-	s, unknown, err := platform.LoadSettings(path)
+	s, warnings, err := platform.LoadSettings(path)
 	if err != nil {
 		return s, err
 	}
-	if len(unknown) > 0 {
-		logger.Info().Str("file", path).Strs("fields", unknown).Msg("settings that are not used")
+	if len(warnings) > 0 {
+		fields := make([]string, 0, len(warnings))
+		for _, w := range warnings {
+			fields = append(fields, w.Field)
+		}
+		logger.Info().Str("file", path).Strs("fields", fields).Msg("settings that are not used")
 	}
 	return s, nil
 }
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -102,6 +102,9 @@
 	if err := p.serveOperators(ctx, service); err != nil {
 		return err
 	}
+	if err := p.serveMetrics(ctx, controlMetrics(server, service)); err != nil {
+		return err
+	}
 	var parts sync.WaitGroup
 	parts.Go(func() { service.Run(ctx) })
 	parts.Go(func() { platform.WatchSettings(ctx, p.path, p.reload, p.logger, func(platform.Settings) {}) })
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -77,6 +77,9 @@
 	if err := serveHTTP(running, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.logger); err != nil {
 		return err
 	}
+	if err := d.serveMetrics(running, d.forwarder.WriteMetrics); err != nil {
+		return err
+	}
 	unknown := time.AfterFunc(unknownAfter, d.announceUnknown)
 	defer unknown.Stop()
 	var parts sync.WaitGroup
--- /dev/null
+++ b/process/fleet_metrics.go
@@ -0,0 +1,74 @@
+package process
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/bilberrydeck/bilberrydeck/control"
+	"github.com/bilberrydeck/bilberrydeck/core/raft"
+	"github.com/bilberrydeck/bilberrydeck/fleet"
+	"github.com/bilberrydeck/bilberrydeck/platform"
+)
+
+// serveMetrics serves the metrics of a process of a fleet as text.
+func (p *fleetProcess) serveMetrics(ctx context.Context, write func(io.Writer) error) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		if err := write(w); err != nil {
+			p.logger.Warn().Err(err).Msg("metrics could not be written")
+		}
+	})
+	return serveHTTP(ctx, p.settings.MetricsAddress(), mux, p.logger)
+}
+
+// controlMetrics describes a replica. Gauges are read when they are asked for.
+//
+//	bilberry_replica_term                     term of the group
+//	bilberry_replica_leads                    1 on the leader
+//	bilberry_replica_voters                   voters of the group
+//	bilberry_replica_commit_index             log index known as committed
+//	bilberry_replica_elections_total          elections that this replica started
+//	bilberry_confirmation_age_seconds         since a quorum confirmed that nothing newer was committed; -1 if never
+//	bilberry_configuration_number             current configuration
+//	bilberry_sessions                         daemons that attend this replica
+//	bilberry_messages_dropped_total           replication messages dropped for a full queue
+func controlMetrics(server *control.Server, service *fleet.Service) func(io.Writer) error {
+	set := vm.NewSet()
+	for name, value := range map[string]func() float64{
+		"bilberry_replica_term":             func() float64 { return float64(server.View().Term) },
+		"bilberry_replica_leads":            func() float64 { return oneIf(server.View().Role == raft.Leader) },
+		"bilberry_replica_voters":           func() float64 { return float64(len(server.View().Set.GetVoters())) },
+		"bilberry_replica_commit_index":     func() float64 { return float64(server.View().Commit) },
+		"bilberry_replica_elections_total":  func() float64 { return float64(server.View().Elections) },
+		"bilberry_confirmation_age_seconds": func() float64 { return secondsOr(server.ConfirmationAge()) },
+		"bilberry_configuration_number":     func() float64 { return float64(service.Number()) },
+		"bilberry_sessions":                 func() float64 { return float64(service.Sessions()) },
+		"bilberry_messages_dropped_total":   func() float64 { return float64(server.DroppedMessages()) },
+	} {
+		set.NewGauge(name, value)
+	}
+	return func(w io.Writer) error {
+		set.WritePrometheus(w)
+		return nil
+	}
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// secondsOr returns -1 for an unknown duration.
+func secondsOr(d time.Duration, known bool) float64 {
+	if !known {
+		return -1
+	}
+	return d.Seconds()
+}
--- a/publish/check.go
+++ b/publish/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/declaration"
 	"github.com/bilberrydeck/bilberrydeck/internal/jsonfile"
+	"github.com/bilberrydeck/bilberrydeck/platform"
 	"github.com/bilberrydeck/bilberrydeck/settings"
 )
 
@@ -21,7 +22,7 @@
 
 // CheckFiles validates files without running anything: declaration files and
 // files named *.settings.json in and below directories, and files that are
-// given themselves. Declarations are checked as one whole set.
+// given themselves, those in the format of the users' platform (*.toml) included. Declarations are checked as one whole set.
 func CheckFiles(paths ...string) (*Report, error) {
 	files, err := find(paths, func(name string) bool {
 		return name == declaration.FileName || strings.HasSuffix(name, settings.Suffix)
@@ -71,6 +72,9 @@
 // checkSettings tells control settings from daemon settings by the data
 // directory, which only a control replica has.
 func checkSettings(file string, src []byte) jsonfile.Problems {
+	if strings.HasSuffix(file, ".toml") {
+		return platform.Check(file, src)
+	}
 	_, top := jsonfile.Open(file, src)
 	if top != nil && top.Has("data_dir") {
 		_, problems := settings.ParseControl(file, src)
