forward, balance: slow upstreams are left, waiting bookings are proved not to have run

An upstream that slows down keeps the calls of its zone while it has slots, also if it answers none of them in time. Ruled out: a marker that the gate sends first (it may be lost with the VM). Change: the body of a request that must not be repeated is sent once the gate asks for it, and the gate asks before it connects to its upstream; until then a broken connection proves that nothing ran.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -81,6 +81,7 @@
 	Exclude  []string // upstreams tried before
 	Bytes    int64    // expected size of both bodies; 0 takes the average of the service
 	Retry    bool     // a retry or a hedge, which must leave half of a link budget
+	Route    string   // groups calls of similar service time; empty for none
 }
 
 // Choice is an upstream picked for one attempt. It is passed to Done.
@@ -102,6 +103,10 @@
 	Deep    bool          // the failure originated further down
 	Report  *admit.Report // nil if the answer carried none
 	Bytes   int64         // body bytes in both directions
+	Route   string        // as in the request
+	// Missed tells that the upstream did not answer in time, for a reason of its
+	// own.
+	Missed bool
 }
 
 // Balancer chooses among the upstreams of one service.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -308,3 +308,36 @@
 		lb.Done(epoch, c, ok)
 	}
 }
+
+// TestSlowUpstreamIsLeft guards calls against an upstream that answers many of
+// them too late, though it has room: they go further away, but for the share that
+// shows its recovery. Other routes stay, and so do all if nobody is faster.
+func TestSlowUpstreamIsLeft(t *testing.T) {
+	b := New(Config{Region: "r", AvailabilityZone: "z1"})
+	now := time.Unix(1000, 0)
+	b.SetUpstreams(now, []Upstream{
+		{ID: "near", Region: "r", AvailabilityZone: "z1", Slots: 100}, {ID: "far", Region: "r", AvailabilityZone: "z2", Slots: 100},
+	})
+	call := func(route string, slow map[string]bool) string {
+		now = now.Add(20 * time.Millisecond)
+		c, f := b.Pick(now, Request{Route: route})
+		require.Nil(t, f)
+		b.Done(now, c, Result{Latency: time.Second, Route: route, Missed: slow[c.Upstream.ID]})
+		return c.Upstream.ID
+	}
+	share := func(route string, slow map[string]bool) float64 {
+		near := 0
+		for range 1000 {
+			if call(route, slow) == "near" {
+				near++
+			}
+		}
+		return float64(near) / 1000
+	}
+	require.Equal(t, 1.0, share("heavy", nil))
+	require.Less(t, share("heavy", map[string]bool{"near": true}), 0.1)
+	require.Equal(t, 1.0, share("light", nil))
+	now = now.Add(10 * time.Second)
+	require.Equal(t, 1.0, share("heavy", nil), "a recovered upstream is used again")
+	require.Greater(t, share("heavy", map[string]bool{"near": true, "far": true}), 0.6, "if all are slow, the near one is used")
+}
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -28,6 +28,7 @@
 
 	report   admit.Report
 	reportAt time.Time
+	misses   map[string]*missRate // by route
 }
 
 // minWeight is the weight at the begin of the slow start. It is above zero, so
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -36,14 +36,17 @@
 }
 
 // pickWithRoom takes the nearest tier with an upstream that is neither ejected
-// nor saturated.
+// nor saturated, and answers such calls in time. Upstreams that do not are used
+// if no other has room.
 func (b *Balancer) pickWithRoom(now time.Time, r Request) (Choice, bool) {
-	for _, a := range attempts {
-		candidates := b.candidates(a.tier, r, func(m *member) bool {
-			return !m.ejected(now) && !m.saturated(now, r.Priority, b.slots(now, m, a.scaled))
-		})
-		if c, ok := b.choose(now, r, candidates); ok {
-			return c, true
+	for _, inTime := range []bool{true, false} {
+		for _, a := range attempts {
+			candidates := b.candidates(a.tier, r, func(m *member) bool {
+				return !m.ejected(now) && !m.saturated(now, r.Priority, b.slots(now, m, a.scaled)) && (!inTime || m.suits(now, r.Route))
+			})
+			if c, ok := b.choose(now, r, candidates); ok {
+				return c, true
+			}
 		}
 	}
 	return Choice{}, false
@@ -168,6 +171,7 @@
 	if m.tier == OtherRegion {
 		b.cfg.Links.settle(now, m.up.Region, c.bytes, r.Bytes)
 	}
+	m.noteMiss(now, r.Route, r.Missed)
 	b.judge(now, m, r)
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -33,6 +33,7 @@
 	body                 []byte
 	stream               io.Reader // replaces body
 	length               int64     // of the stream, -1 if unknown
+	awaited              bool      // the sender of the stream waits to be asked for it
 }
 
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -118,15 +118,20 @@
 		r.call.stream, r.call.length = b, b.Length
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(b, wholeBody))
-	if err == nil && len(body) == wholeBody {
-		r.call.stream, r.call.length = io.MultiReader(bytes.NewReader(body), b), b.Length
-		return nil
-	}
-	if err != nil {
+	return r.call.readBody(b, b.Length)
+}
+
+// readBody reads a body whole if it is small, or else its beginning.
+func (c *call) readBody(from io.Reader, length int64) *chain.Failure {
+	body, err := io.ReadAll(io.LimitReader(from, wholeBody))
+	switch {
+	case err != nil:
 		return bodyFailure(err)
+	case len(body) == wholeBody:
+		c.stream, c.length = io.MultiReader(bytes.NewReader(body), from), length
+	default:
+		c.body, c.stream, c.length = body, nil, 0
 	}
-	r.call.body = body
 	return nil
 }
 
@@ -157,7 +162,7 @@
 func (r *request) pick() (balance.Choice, *chain.Failure) {
 	now := r.f.cfg.Now()
 	choice, failure := r.service.balancer.Pick(now, balance.Request{
-		Priority: r.call.priority, Exclude: r.tried, Bytes: max(r.call.bodyLength(), 0), Retry: r.tries > 0,
+		Priority: r.call.priority, Exclude: r.tried, Bytes: max(r.call.bodyLength(), 0), Retry: r.tries > 0, Route: r.call.route,
 	})
 	if failure == nil {
 		r.call.upstream = choice.Upstream.ID
@@ -179,7 +184,7 @@
 }
 
 func (r *request) done(choice balance.Choice, res *result, took time.Duration) {
-	out := balance.Result{Latency: took, Report: res.report, Bytes: r.call.bodyLength() + res.answer.size()}
+	out := balance.Result{Latency: took, Report: res.report, Bytes: r.call.bodyLength() + res.answer.size(), Route: r.call.route, Missed: r.missed(res, took)}
 	if res.failure != nil {
 		out.Outcome, out.Reason, out.Deep = res.failure.Outcome, res.failure.Reason, res.failure.Deep
 	}
@@ -195,6 +200,21 @@
 	}
 }
 
+// latePart is the part of the time of a request after which a failure of its
+// upstream counts as an answer that came too late.
+const latePart = 0.8
+
+// missed reports whether an upstream took too long for a request, for a reason of
+// its own. A request that its client gave up, or that failed with a call further
+// down, says nothing of the upstream.
+func (r *request) missed(res *result, took time.Duration) bool {
+	f := res.failure
+	if f == nil || f.Deep || !res.arrived || f.Reason == chain.ReasonCancelled {
+		return false
+	}
+	return f.Reason == chain.ReasonDeadline || took >= time.Duration(latePart*float64(r.limit.Sub(r.arrived)))
+}
+
 // again decides whether another upstream is tried.
 func (r *request) again(ctx context.Context, res *result) bool {
 	if res.failure == nil {
--- a/forward/inbound.go
+++ b/forward/inbound.go
@@ -27,7 +27,7 @@
 	}
 	stripOwn(c.header)
 	if x.Body != nil {
-		c.stream, c.length = x.Body, x.Body.Length
+		c.stream, c.length, c.awaited = x.Body, x.Body.Length, true
 	}
 	r := f.local.run(x.Context(), c)
 	f.answerPeer(x, r)
--- a/forward/local.go
+++ b/forward/local.go
@@ -244,6 +244,14 @@
 // send carries out one exchange with the upstream.
 func (l *local) send(ctx context.Context, c *call) *result {
 	now := l.f.cfg.Now()
+	if c.awaited {
+		// Only now is the sender asked for the body. Until it has sent some of it,
+		// it can be certain that the upstream has not seen the request.
+		if f := c.readBody(c.stream, c.length); f != nil {
+			return &result{failure: f}
+		}
+		now = l.f.cfg.Now()
+	}
 	remaining := c.remaining(now)
 	if remaining < lastSend {
 		return refused(chain.ReasonDeadline, "no time is left")
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/presence"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 )
@@ -382,3 +383,42 @@
 	require.Equal(t, 500, resp.StatusCode)
 	require.EqualValues(t, 1, reached.Load())
 }
+
+// TestPeerThatBreaksBeforeItAskedForTheBody guards bookings and uploads against
+// the loss of the daemon at whose gate they wait: they have not run, so they go
+// elsewhere. Once the body was asked for that is not certain any more.
+func TestPeerThatBreaksBeforeItAskedForTheBody(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 4096)) // the head
+				if asks {
+					_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+					_, _ = c.Read(make([]byte, 4096)) // some of the body
+				}
+				_ = c.Close()
+			}
+		}()
+		good := newUpstream(t, "i-good", nil)
+		f := newFleet(t, ordersTable(), good)
+		f.daemons[0].SetFleet(Fleet{Table: f.table, Daemons: 1, Upstreams: map[string][]balance.Upstream{"orders": {
+			{ID: "i-broken", Address: l.Addr().String(), Region: "north", AvailabilityZone: "zone-0", Slots: testSlots},
+			{ID: "i-good", Address: f.daemons[0].cfg.PeerAddress, Region: "north", AvailabilityZone: "zone-9", Slots: testSlots},
+		}}})
+		for _, kind := range []routing.Kind{routing.NonIdempotent, routing.Upload} {
+			resp, _ := f.send(0, sent{kind: kind, body: "x"})
+			want := http.StatusOK
+			if asks {
+				want = http.StatusBadGateway
+			}
+			require.Equal(t, want, resp.StatusCode, kind)
+		}
+	}
+}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -31,7 +31,9 @@
 }
 
 // awaitBody is the size from which on a body is sent only once the gate has
-// admitted the request: a refusal then costs no transfer.
+// admitted the request: a refusal then costs no transfer. The body of a request
+// that must not be repeated always waits, since a connection that breaks before
+// proves that the request has not run.
 const awaitBody = 8 << 10
 
 // sendToPeer hands a call to the daemon beside the chosen upstream.
@@ -45,11 +47,12 @@
 		}
 		return &result{failure: chain.Wrap(chain.NotRun, chain.ReasonConnect, "no connection to the daemon of the upstream", err)}
 	}
-	from, err := conn.Do(ctx, f.peerRequest(c))
+	out := f.peerRequest(c)
+	from, err := conn.Do(ctx, out)
 	if err != nil {
-		written := conn.Written()
+		mayHaveRun := conn.Written() > 0 && !(out.AwaitContinue && !conn.BodyAsked())
 		conn.Close()
-		return peerBroken(ctx, written, err)
+		return peerBroken(ctx, mayHaveRun, err)
 	}
 	return takePeerAnswer(ctx, pool, conn, from)
 }
@@ -60,16 +63,16 @@
 	delete(h, f.cfg.Dialect.Deadline)
 	h[headerCall] = []string{formatCall(c, c.remaining(f.cfg.Now()))}
 	out := c.out(h)
-	out.AwaitContinue = c.bodyLength() < 0 || c.bodyLength() >= awaitBody
+	out.AwaitContinue = c.bodyLength() < 0 || c.bodyLength() >= awaitBody || c.bodyLength() > 0 && !c.kind.Repeatable()
 	return out
 }
 
-func peerBroken(ctx context.Context, written int64, err error) *result {
+func peerBroken(ctx context.Context, mayHaveRun bool, err error) *result {
 	outcome := chain.Unknown
-	if written == 0 {
+	if !mayHaveRun {
 		outcome = chain.NotRun
 	}
-	r := &result{arrived: written > 0}
+	r := &result{arrived: mayHaveRun}
 	if ctx.Err() != nil {
 		r.failure = chain.ContextFailure(ctx, outcome, "no answer of the daemon of the upstream in time")
 		return r
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -86,6 +86,9 @@
 // this process. Zero proves that the server has not seen the request.
 func (c *ClientConn) Written() int64 { return c.written.Load() }
 
+// BodyAsked reports whether the server asked for a body that waited for that.
+func (c *ClientConn) BodyAsked() bool { return c.body != nil }
+
 // Reused reports whether the connection has carried an exchange before.
 func (c *ClientConn) Reused() bool { return c.used > 1 }
 
