admit, forward: a request is too late below half of the usual service time

Ruled out: full queues (the gates had free slots). Change: the part of the mean is a parameter of the gate; fleets use 0.5.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -23,6 +23,9 @@
 	Period      time.Duration // interval between two changes of the level; default 100 ms
 	StreamShare float64       // largest part of the limit for streamed bodies; default 0.5
 	Fixed       bool          // keeps the limit at Slots
+	// LatePart is the part of the usual service time of its route below which the
+	// time left of a request is too short to let it run; default 1.
+	LatePart float64
 }
 
 func (c Config) withDefaults() Config {
@@ -33,6 +36,7 @@
 	setDefault(&c.QueueTarget, 20*time.Millisecond)
 	setDefault(&c.Period, 100*time.Millisecond)
 	setDefault(&c.StreamShare, 0.5)
+	setDefault(&c.LatePart, 1)
 	return c
 }
 
--- a/core/admit/dispatch.go
+++ b/core/admit/dispatch.go
@@ -114,7 +114,7 @@
 
 // late reports whether an entry has less time left than its service takes.
 func (g *Gate) late(now time.Time, e *entry) bool {
-	return !e.req.Deadline.IsZero() && !e.route.feasible(e.req.Deadline.Sub(now))
+	return !e.req.Deadline.IsZero() && !e.route.feasible(e.req.Deadline.Sub(now), g.cfg.LatePart)
 }
 
 // expire refuses queued entries that can no longer finish in time.
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -68,7 +68,7 @@
 		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the upstream is draining")
 	case g.entries[r.ID] != nil:
 		return chain.NewFailure(chain.NotRun, chain.ReasonBadRequest, "request id already held by the gate")
-	case !r.Deadline.IsZero() && !route.feasible(r.Deadline.Sub(now)):
+	case !r.Deadline.IsZero() && !route.feasible(r.Deadline.Sub(now), g.cfg.LatePart):
 		return chain.NewFailure(chain.NotRun, chain.ReasonDeadline, "less time left than the service takes")
 	case r.Priority < g.level.current:
 		return chain.NewFailure(chain.NotRun, chain.ReasonOverload, "priority below the admission level")
--- a/core/admit/route.go
+++ b/core/admit/route.go
@@ -35,9 +35,10 @@
 	r.touched = false
 }
 
-// feasible reports whether a request with this much time left may still finish.
-func (r *routeTime) feasible(remaining time.Duration) bool {
-	return remaining > 0 && remaining >= r.mean
+// feasible reports whether a request with this much time left may still finish,
+// if it needs at least a part of the usual time.
+func (r *routeTime) feasible(remaining time.Duration, part float64) bool {
+	return remaining > 0 && remaining >= time.Duration(part*float64(r.mean))
 }
 
 type routeTable map[string]*routeTime
--- a/forward/local.go
+++ b/forward/local.go
@@ -121,7 +121,7 @@
 
 func (l *local) replaceGate(u presence.Upstream) {
 	g := gate.New(l.f.cfg.Now, admit.New(admit.Config{
-		Slots: u.Slots, Fixed: true, MaxQueue: queuePerSlot * u.Slots, StreamShare: uploadShare,
+		Slots: u.Slots, Fixed: true, MaxQueue: queuePerSlot * u.Slots, StreamShare: uploadShare, LatePart: latestStart,
 	}), u.Slots)
 	if l.leaving.Load() {
 		g.Drain()
@@ -140,6 +140,11 @@
 	// uploadShare is the part of the slots that uploads may take. A body is held
 	// in memory before it is sent, so an upload is as short as other requests.
 	uploadShare = 1
+	// latestStart is the part of the usual time of a route that a request must have
+	// left to be sent. Service times vary widely: with half of the usual time a
+	// good part of the requests still ends well, and a call that is turned away
+	// ends the request that made it.
+	latestStart = 0.5
 )
 
 // drain refuses new work because the daemon stops.
