httpwire: an idle connection that is too old for one exchange stays for others

Ruled out: servers that close (they announce 10 s). Before/after: TestIdleConnectionStaysForOthers failed before.

--- a/httpwire/client_test.go
+++ b/httpwire/client_test.go
@@ -236,6 +236,22 @@
 	require.Equal(t, 1, dials)
 }
 
+// TestIdleConnectionStaysForOthers guards against new connections that cost: one
+// that was idle too long for a particular exchange serves the next other one.
+func TestIdleConnectionStaysForOthers(t *testing.T) {
+	c, _ := pair(t)
+	dials := 0
+	pool := Pool{Dial: func(context.Context) (net.Conn, error) { dials++; return nil, io.ErrClosedPipe }}
+	pool.Put(c)
+	time.Sleep(2 * time.Millisecond)
+	_, err := pool.Get(within(t), time.Millisecond)
+	require.ErrorIs(t, err, io.ErrClosedPipe)
+	again, err := pool.Get(within(t), time.Minute)
+	require.NoError(t, err)
+	require.Same(t, c, again)
+	require.Equal(t, 1, dials)
+}
+
 // TestEndToEnd guards headers that concern one connection only.
 func TestEndToEnd(t *testing.T) {
 	h := EndToEnd(http.Header{
--- a/httpwire/pool.go
+++ b/httpwire/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,13 +23,8 @@
 // Get returns a connection that was idle for at most maxIdle, or a new one. A
 // maxIdle of 0 always opens a new one.
 func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*ClientConn, error) {
-	now := time.Now()
-	for {
-		c := p.take()
-		if c == nil {
-			break
-		}
-		if now.Sub(c.freeAt) <= min(maxIdle, c.idleTime) && c.quiet() {
+	for c := p.take(maxIdle); c != nil; c = p.take(maxIdle) {
+		if c.quiet() {
 			return c, nil
 		}
 		c.Close()
@@ -40,14 +36,19 @@
 	return NewClientConn(nc), nil
 }
 
-func (p *Pool) take() *ClientConn {
+// take removes the connection that was used last, unless that was too long ago;
+// then it stays for an exchange that is less particular.
+func (p *Pool) take(maxIdle time.Duration) *ClientConn {
+	now := time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	expired := p.expire(now)
+	var c *ClientConn
+	if n := len(p.idle); n > 0 && now.Sub(p.idle[n-1].freeAt) <= maxIdle {
+		c = p.idle[n-1]
+		p.idle = p.idle[:n-1]
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
+	p.mu.Unlock()
+	closeAll(expired)
 	return c
 }
 
@@ -63,20 +64,26 @@
 	p.idle = append(p.idle, c)
 	expired := p.expire(c.freeAt)
 	p.mu.Unlock()
-	for _, c := range expired {
+	closeAll(expired)
+}
+
+func closeAll(conns []*ClientConn) {
+	for _, c := range conns {
 		c.Close()
 	}
 }
 
-// expire removes the connections that were idle for too long, the least
-// recently used of which are first. The caller holds the mutex.
+// expire removes the connections that were idle for longer than their server
+// allows. The caller holds the mutex.
 func (p *Pool) expire(now time.Time) []*ClientConn {
-	n := 0
-	for n < len(p.idle) && now.Sub(p.idle[n].freeAt) > p.idle[n].idleTime {
-		n++
-	}
-	expired := append([]*ClientConn(nil), p.idle[:n]...)
-	p.idle = p.idle[n:]
+	var expired []*ClientConn
+	p.idle = slices.DeleteFunc(p.idle, func(c *ClientConn) bool {
+		over := now.Sub(c.freeAt) > c.idleTime
+		if over {
+			expired = append(expired, c)
+		}
+		return over
+	})
 	return expired
 }
 
@@ -86,9 +93,7 @@
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
+	closeAll(idle)
 }
 
 // quiet reports whether nothing has arrived on an idle connection: neither its
