faultproxy: the loopback proxy of the integration tests becomes a package

Cause: the soak needs the same proxy, with delays and resets, and one copy of each type is the rule. Ruled out: a second proxy inside the soak. Conclusion: no behaviour of the product changed.

--- a/integration/control_faults_test.go
+++ b/integration/control_faults_test.go
@@ -155,8 +155,8 @@
 	p.next()
 	leader := g.leader(1, 2, 3)
 	toLeader := newProxy(t, g.address[leader])
-	toLeader.cut(false, true) // the change arrives, its answer vanishes
-	lossy := client.New(client.Config{Addresses: []string{toLeader.address()}})
+	toLeader.Cut(false, true) // the change arrives, its answer vanishes
+	lossy := client.New(client.Config{Addresses: []string{toLeader.Address()}})
 	defer lossy.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -14,6 +14,7 @@
 	"github.com/bilberrydeck/bilberrydeck/control/client"
 	"github.com/bilberrydeck/bilberrydeck/declaration"
 	"github.com/bilberrydeck/bilberrydeck/emulator"
+	"github.com/bilberrydeck/bilberrydeck/internal/faultproxy"
 )
 
 // controlGroup is a set of control processes. Each replica dials each other
@@ -22,14 +23,14 @@
 	t       testing.TB
 	dir     string
 	address map[int]string
-	links   map[[2]int]*faultProxy // from, to
+	links   map[[2]int]*faultproxy.Proxy // from, to
 	procs   map[int]*process
 }
 
 func newControlGroup(t testing.TB, ids ...int) *controlGroup {
 	g := &controlGroup{
 		t: t, dir: t.TempDir(), address: make(map[int]string),
-		links: make(map[[2]int]*faultProxy), procs: make(map[int]*process),
+		links: make(map[[2]int]*faultproxy.Proxy), procs: make(map[int]*process),
 	}
 	for _, id := range ids {
 		g.address[id] = freePort(t)
@@ -53,7 +54,7 @@
 	}
 	for other := range g.address {
 		if other != id {
-			dial = append(dial, fmt.Sprintf("%q: %q", g.address[other], g.link(id, other).address()))
+			dial = append(dial, fmt.Sprintf("%q: %q", g.address[other], g.link(id, other).Address()))
 		}
 	}
 	settings := fmt.Sprintf(`{"id": %d, "listen": %q, "peers": [%s], "data_dir": "data-%d", "claim_shards": 2,
@@ -63,7 +64,7 @@
 	g.procs[id] = start(g.t, "control", "-settings", path)
 }
 
-func (g *controlGroup) link(from, to int) *faultProxy {
+func (g *controlGroup) link(from, to int) *faultproxy.Proxy {
 	key := [2]int{from, to}
 	if g.links[key] == nil {
 		g.links[key] = newProxy(g.t, g.address[to])
@@ -81,9 +82,9 @@
 	for key, link := range g.links {
 		switch id {
 		case key[1]: // from another replica to this one
-			link.cut(inbound, outbound)
+			link.Cut(inbound, outbound)
 		case key[0]:
-			link.cut(outbound, inbound)
+			link.Cut(outbound, inbound)
 		}
 	}
 }
