process, settings: fleet programs run on settings of our own beside the platform's

Cause: the fleet programs could be started only with the platform's settings format and fixed dialling, so a test from outside could not put a proxy on the way between them. Ruled out: environment variables read deep inside; a second main for tests. Two fields that nothing read are removed. Conclusion: no behaviour changed for an installation without -own.

--- a/cmd/bilberrydeck/fleet.go
+++ b/cmd/bilberrydeck/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/bilberrydeck/bilberrydeck/logging"
 	"github.com/bilberrydeck/bilberrydeck/platform"
 	"github.com/bilberrydeck/bilberrydeck/process"
+	"github.com/bilberrydeck/bilberrydeck/settings"
 )
 
 func runFleetDaemon(ctx context.Context, e env, args []string) error {
@@ -27,8 +28,9 @@
 
 // runFleet runs a process of a fleet. Its settings file is the platform's.
 func runFleet(ctx context.Context, e env, args []string, name, about string,
-	run func(context.Context, string, <-chan os.Signal, *logging.Logger) error) error {
-	f := newFlags(e, name, "[-settings FILE]", about, name+" -settings /etc/bilberrydeck/settings.toml")
+	run func(context.Context, process.FleetOptions) error) error {
+	f := newFlags(e, name, "[-settings FILE] [-own FILE]", about, name+" -settings /etc/bilberrydeck/settings.toml")
+	own := f.String("own", "", "further settings that the platform's file does not have")
 	file := f.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform; default is $"+platform.SettingsVariable)
 	if err := parseFlags(f, args, 0, 0); err != nil {
 		return err
@@ -36,6 +38,13 @@
 	if *file == "" {
 		return usagef("-settings is missing and $%s is not set", platform.SettingsVariable)
 	}
+	var more settings.Fleet
+	if *own != "" {
+		var err error
+		if more, _, err = settings.LoadFleet(*own); err != nil {
+			return err
+		}
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
@@ -45,5 +54,5 @@
 	defer release()
 	logger, flush := logging.NewProcess(e.stdout)
 	defer flush()
-	return run(ctx, *file, reload, logger)
+	return run(ctx, process.FleetOptions{Settings: *file, Dial: more.Dial, Reload: reload, Logger: logger})
 }
--- a/forward/config.go
+++ b/forward/config.go
@@ -44,6 +44,9 @@
 	// killed.
 	Grace time.Duration
 
+	// Place tells where the advertised address of a peer is reached; nil means at
+	// that address.
+	Place  func(advertised string) string
 	Now    func() time.Time // a steady clock; nil means time.Now
 	Seed   uint64
 	Logger *logging.Logger // nil discards all lines
@@ -53,6 +56,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Place == nil {
+		c.Place = func(advertised string) string { return advertised }
+	}
 	if c.Logger == nil {
 		c.Logger = logging.New(io.Discard)
 	}
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -26,12 +26,11 @@
 	client  time.Duration // that the client waits; 0 if it did not say
 	limit   time.Time     // when it must be answered
 
-	tries   int      // upstreams asked
-	sends   int      // of these, upstreams that the request arrived at
-	tried   []string // upstream ids
-	mayRun  bool     // an earlier attempt may have run
-	held    *result  // answer of a failed attempt, passed on if no other succeeds
-	refusal *result  // last refusal
+	tries  int      // upstreams asked
+	sends  int      // of these, upstreams that the request arrived at
+	tried  []string // upstream ids
+	mayRun bool     // an earlier attempt may have run
+	held   *result  // answer of a failed attempt, passed on if no other succeeds
 }
 
 // serveEntrance answers one request of a client or of the local upstream.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -39,7 +39,7 @@
 	f := &Forwarder{
 		cfg: cfg, metrics: newMetrics(), services: map[string]*service{},
 		links: balance.NewLinks(balance.LinksConfig{BytesPerSecond: linkBytesPerSecond}),
-		peers: newPeers(),
+		peers: newPeers(cfg.Place),
 	}
 	f.local = newLocal(f)
 	f.entrance = httpwire.Server{Handle: f.serveEntrance, Limits: f.limits, OnBadRequest: f.noteBadRequest}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -12,11 +12,14 @@
 
 // peers holds the connections to other daemons.
 type peers struct {
+	place func(advertised string) string
 	mu    sync.Mutex
 	pools map[string]*httpwire.Pool // by peer address
 }
 
-func newPeers() *peers { return &peers{pools: map[string]*httpwire.Pool{}} }
+func newPeers(place func(string) string) *peers {
+	return &peers{place: place, pools: map[string]*httpwire.Pool{}}
+}
 
 func (p *peers) pool(address string) *httpwire.Pool {
 	p.mu.Lock()
@@ -24,7 +27,7 @@
 	pool := p.pools[address]
 	if pool == nil {
 		dialer := net.Dialer{Timeout: peerConnectTimeout}
-		pool = &httpwire.Pool{Dial: func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }}
+		pool = &httpwire.Pool{Dial: func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", p.place(address)) }}
 		p.pools[address] = pool
 	}
 	return pool
--- a/logging/decisions.go
+++ b/logging/decisions.go
@@ -84,10 +84,9 @@
 	stopped chan struct{}
 	once    sync.Once
 
-	began   time.Time // of the present interval, owned by the writer
-	lines   int       // in it
-	told    [failure + 1]uint64
-	checked time.Time
+	began time.Time // of the present interval, owned by the writer
+	lines int       // in it
+	told  [failure + 1]uint64
 }
 
 // NewDecisions starts the writer. Close ends it.
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -36,9 +36,25 @@
 	}
 }
 
+// FleetOptions are what a process of a fleet is started with.
+type FleetOptions struct {
+	Settings string            // path of the platform's settings file
+	Dial     map[string]string // addresses to dial in place of advertised ones
+	Reload   <-chan os.Signal  // the settings file has changed
+	Logger   *logging.Logger
+}
+
+// place is where an advertised address is reached.
+func (o *FleetOptions) place(advertised string) string {
+	if instead, ok := o.Dial[advertised]; ok {
+		return instead
+	}
+	return advertised
+}
+
 // dialControl opens a connection to a control replica.
-func dialControl(ctx context.Context, address string) (net.Conn, error) {
-	return tcpopt.Dialer(controlConnectTimeout).DialContext(ctx, "tcp", address)
+func (o *FleetOptions) dialControl(ctx context.Context, address string) (net.Conn, error) {
+	return tcpopt.Dialer(controlConnectTimeout).DialContext(ctx, "tcp", o.place(address))
 }
 
 // serveHTTP serves a handler until ctx ends.
@@ -81,8 +97,15 @@
 
 // fleetProcess is what the processes of a fleet have in common.
 type fleetProcess struct {
+	FleetOptions
 	settings platform.Settings
-	path     string
-	reload   <-chan os.Signal
-	logger   *logging.Logger
+}
+
+// newFleetProcess reads the settings of a process.
+func newFleetProcess(o FleetOptions) (fleetProcess, error) {
+	s, err := loadFleetSettings(o.Settings, o.Logger)
+	if err == nil {
+		tuneFleetMemory(s.MemoryBytes)
+	}
+	return fleetProcess{o, s}, err
 }
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -18,7 +18,6 @@
 	"github.com/bilberrydeck/bilberrydeck/fleet"
 	"github.com/bilberrydeck/bilberrydeck/internal/steady"
 	"github.com/bilberrydeck/bilberrydeck/internal/tcpopt"
-	"github.com/bilberrydeck/bilberrydeck/logging"
 	"github.com/bilberrydeck/bilberrydeck/platform"
 	"github.com/bilberrydeck/bilberrydeck/storage"
 )
@@ -38,22 +37,21 @@
 
 // RunFleetControl runs a control replica of a fleet until ctx ends or its disk
 // fails. Settings are those of the platform.
-func RunFleetControl(ctx context.Context, path string, reload <-chan os.Signal, logger *logging.Logger) error {
-	s, err := loadFleetSettings(path, logger)
+func RunFleetControl(ctx context.Context, o FleetOptions) error {
+	p, err := newFleetProcess(o)
 	if err != nil {
 		return err
 	}
-	tuneFleetMemory(s.MemoryBytes)
-	logger.Info().Str("vm", s.VM).Str("address", s.ReplicaAddress()).Str("availability_zone", s.AvailabilityZone).
+	s := &p.settings
+	p.Logger.Info().Str("vm", s.VM).Str("address", s.ReplicaAddress()).Str("availability_zone", s.AvailabilityZone).
 		Bool("first_start", s.FirstStart).Strs("seeds", s.Seeds).Int("losses", s.Losses).Msg("control started")
-	p := &fleetProcess{settings: s, path: path, reload: reload, logger: logger}
 	for {
 		err = p.runReplica(ctx)
 		if ctx.Err() != nil || !p.recover(ctx, err) {
 			break
 		}
 	}
-	logStopped(logger, "control", err)
+	logStopped(p.Logger, "control", err)
 	return err
 }
 
@@ -68,17 +66,17 @@
 	switch {
 	case errors.As(err, &removed):
 		// Its data is of no use to the group any more; it joins as a new replica.
-		p.logger.Warn().Uint64("replica", removed.Replica).Msg("replaced by the group; starting anew without state")
+		p.Logger.Warn().Uint64("replica", removed.Replica).Msg("replaced by the group; starting anew without state")
 		p.settings.FirstStart = false
 		if err := os.RemoveAll(p.directory()); err != nil {
-			p.logger.Error().Err(err).Msg("data of the former replica cannot be removed")
+			p.Logger.Error().Err(err).Msg("data of the former replica cannot be removed")
 			return false
 		}
 		return true
 	case errors.As(err, &disk):
 		// What a failed write has left is known only after the files were read
 		// again, as after a crash. A full disk may have room again later.
-		p.logger.Error().Err(err).Msg("disk failed; starting again from what it holds")
+		p.Logger.Error().Err(err).Msg("disk failed; starting again from what it holds")
 		select {
 		case <-time.After(diskRetry):
 		case <-ctx.Done():
@@ -93,7 +91,7 @@
 func (p *fleetProcess) runReplica(ctx context.Context) error {
 	ctx, end := context.WithCancel(ctx)
 	defer end()
-	service := fleet.NewService(p.logger, steady.Now, dialControl)
+	service := fleet.NewService(p.Logger, steady.Now, p.dialControl)
 	server, err := p.newReplica(ctx, func(r grpc.ServiceRegistrar) { api.RegisterFleetServer(r, service) })
 	if err != nil {
 		return err
@@ -107,7 +105,7 @@
 	}
 	var parts sync.WaitGroup
 	parts.Go(func() { service.Run(ctx) })
-	parts.Go(func() { platform.WatchSettings(ctx, p.path, p.reload, p.logger, func(platform.Settings) {}) })
+	parts.Go(func() { platform.WatchSettings(ctx, p.Settings, p.Reload, p.Logger, func(platform.Settings) {}) })
 	defer parts.Wait()
 	defer end()
 	return server.Run(ctx)
@@ -124,7 +122,7 @@
 		Seeded: &control.Seeded{
 			Seeds: s.Seeds, FirstStart: s.FirstStart, AvailabilityZone: s.AvailabilityZone, Losses: s.Losses,
 		},
-		Plaintext: true, Dialer: dialControl, Logger: p.logger, Clock: steady.Now, Seed: newSeed(),
+		Plaintext: true, Dialer: p.dialControl, Logger: p.Logger, Clock: steady.Now, Seed: newSeed(),
 		TickInterval: fleetTick, HeartbeatTicks: fleetHeartbeatTicks, ElectionTicks: fleetElectionTicks,
 		Machine:  func(uint32) control.Machine { return state.NewFleet() },
 		Register: register,
@@ -140,5 +138,5 @@
 	if err != nil {
 		return err
 	}
-	return serveHTTP(ctx, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.logger), p.logger)
+	return serveHTTP(ctx, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.Logger), p.Logger)
 }
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/bilberrydeck/bilberrydeck/fleet"
 	"github.com/bilberrydeck/bilberrydeck/forward"
 	"github.com/bilberrydeck/bilberrydeck/internal/steady"
-	"github.com/bilberrydeck/bilberrydeck/logging"
 	"github.com/bilberrydeck/bilberrydeck/platform"
 )
 
@@ -24,17 +22,17 @@
 
 // RunFleetDaemon runs the daemon beside one upstream of a fleet until ctx ends.
 // Settings are those of the platform.
-func RunFleetDaemon(ctx context.Context, path string, reload <-chan os.Signal, logger *logging.Logger) error {
-	s, err := loadFleetSettings(path, logger)
+func RunFleetDaemon(ctx context.Context, o FleetOptions) error {
+	p, err := newFleetProcess(o)
 	if err != nil {
 		return err
 	}
-	tuneFleetMemory(s.MemoryBytes)
-	logger.Info().Str("vm", s.VM).Str("service", s.Service).Str("upstream", s.UpstreamAddress).Str("entrance", s.EntranceAddress).
+	s := &p.settings
+	p.Logger.Info().Str("vm", s.VM).Str("service", s.Service).Str("upstream", s.UpstreamAddress).Str("entrance", s.EntranceAddress).
 		Str("peer", s.PeerAddress).Str("availability_zone", s.AvailabilityZone).Strs("seeds", s.Seeds).Msg("daemon started")
-	d := &fleetDaemon{fleetProcess: fleetProcess{settings: s, path: path, reload: reload, logger: logger}}
+	d := &fleetDaemon{fleetProcess: p}
 	err = d.run(ctx)
-	logStopped(logger, "daemon", err)
+	logStopped(p.Logger, "daemon", err)
 	return err
 }
 
@@ -54,14 +52,14 @@
 		EntranceAddress: s.EntranceAddress, PeerAddress: s.PeerAddress, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
 		Region: s.Region, AvailabilityZone: s.AvailabilityZone, Dialect: platform.Dialect(),
 		Retries: forward.RetryLimits{Ratio: s.RetryRatio * retryShare, Slack: s.RetrySlack * retryShare, Window: s.RetryWindow},
-		Grace:   s.Grace, Now: steady.Now, Seed: newSeed(), Logger: d.logger,
+		Grace:   s.Grace, Now: steady.Now, Seed: newSeed(), Logger: d.Logger, Place: d.place,
 	})
 	if err != nil {
 		return err
 	}
 	d.agent = fleet.NewAgent(fleet.AgentConfig{
 		Address: s.PeerAddress, Region: s.Region, Zone: s.AvailabilityZone, RegionOf: func(zone string) string { return s.RegionOf[zone] },
-		Seeds: s.Seeds, Dial: dialControl, Log: d.logger, Clock: steady.Now, Seed: newSeed(), Changed: d.changed,
+		Seeds: s.Seeds, Dial: d.dialControl, Log: d.Logger, Clock: steady.Now, Seed: newSeed(), Changed: d.changed,
 	})
 	d.forwarder.OnUpstreamChange(d.announce)
 	return d.serve(ctx)
@@ -71,10 +69,10 @@
 	// The agent and the small listeners outlast the planned stop of the forwarder.
 	running, end := context.WithCancel(context.Background())
 	defer end()
-	if err := serveHTTP(running, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), d.logger); err != nil {
+	if err := serveHTTP(running, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), d.Logger); err != nil {
 		return err
 	}
-	if err := serveHTTP(running, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.logger); err != nil {
+	if err := serveHTTP(running, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.Logger); err != nil {
 		return err
 	}
 	if err := d.serveMetrics(running, d.forwarder.WriteMetrics); err != nil {
@@ -84,7 +82,7 @@
 	defer unknown.Stop()
 	var parts sync.WaitGroup
 	parts.Go(func() { d.agent.Run(running) })
-	parts.Go(func() { platform.WatchSettings(running, d.path, d.reload, d.logger, d.reloaded) })
+	parts.Go(func() { platform.WatchSettings(running, d.Settings, d.Reload, d.Logger, d.reloaded) })
 	d.forwarder.Run(ctx)
 	end()
 	parts.Wait()
@@ -95,7 +93,7 @@
 func (d *fleetDaemon) reloaded(s platform.Settings) {
 	d.agent.SetSeeds(s.Seeds)
 	if s.EntranceAddress != d.settings.EntranceAddress || s.Service != d.settings.Service || s.UpstreamAddress != d.settings.UpstreamAddress {
-		d.logger.Warn().Msg("changed addresses and services take effect at the next start")
+		d.Logger.Warn().Msg("changed addresses and services take effect at the next start")
 	}
 }
 
@@ -131,7 +129,7 @@
 func (d *fleetDaemon) changed(s fleet.State) {
 	table, err := d.tableOf(s.Routing)
 	if err != nil {
-		d.logger.Error().Uint64("number", s.Routing.GetNumber()).Err(err).Msg("accepted configuration cannot be used")
+		d.Logger.Error().Uint64("number", s.Routing.GetNumber()).Err(err).Msg("accepted configuration cannot be used")
 		return
 	}
 	d.forwarder.SetFleet(forward.Fleet{Table: table, Upstreams: upstreamsOf(s.Members), Daemons: len(s.Members)})
--- a/process/fleet_metrics.go
+++ b/process/fleet_metrics.go
@@ -20,10 +20,10 @@
 	mux.HandleFunc("GET "+platform.MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		if err := write(w); err != nil {
-			p.logger.Warn().Err(err).Msg("metrics could not be written")
+			p.Logger.Warn().Err(err).Msg("metrics could not be written")
 		}
 	})
-	return serveHTTP(ctx, p.settings.MetricsAddress(), mux, p.logger)
+	return serveHTTP(ctx, p.settings.MetricsAddress(), mux, p.Logger)
 }
 
 // controlMetrics describes a replica. Gauges are read when they are asked for.
