soak: random faults on fleets of real processes on loopback

Cause: the faults that the users' platform brings were met only there; the product had no test that plays them without it. Ruled out: faults inside the processes, which would need hooks in the product. Change: package soak starts control replicas and daemons as processes of their own, with a proxy on each link, upstreams, callers and an operator beside them; a seeded schedule stops, kills, freezes, cuts and wipes. Checked while it runs: whole and matching answers, at most once, true "not run", drained upstreams, numbers never backwards and followed in time, nothing cut by a planned stop, the retry budget, recovery and the newest configuration at the end.

--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,280 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault is one kind of fault: it strikes, lasts and ends within its function.
+type fault struct {
+	name   string
+	kind   faultKind
+	strike func(w *world, d time.Duration)
+}
+
+type faultKind int
+
+const (
+	onDaemons faultKind = iota
+	planned             // what operators do: no request may break off
+	onControl           // one at a time, which is what the fleet bears
+)
+
+// faults are drawn by the schedule; those that are listed twice come twice as often.
+var faults = []fault{
+	{"daemon stopped as planned", planned, func(w *world, _ time.Duration) { w.restart(w.daemon()) }},
+	{"daemon stopped as planned", planned, func(w *world, _ time.Duration) { w.restart(w.daemon()) }},
+	{"daemon killed", onDaemons, func(w *world, d time.Duration) { w.crash(w.daemon(), d) }},
+	{"daemon frozen", onDaemons, func(w *world, d time.Duration) { w.freeze(w.daemon(), d) }},
+	{"several daemons killed", onDaemons, func(w *world, d time.Duration) {
+		var all sync.WaitGroup
+		for range 2 + w.pick(2) {
+			v := w.daemon()
+			all.Go(func() { w.crash(v, d) })
+		}
+		all.Wait()
+	}},
+	{"settings changed", planned, func(w *world, _ time.Duration) { w.reload(w.daemon()) }},
+	{"upstream crashed", onDaemons, func(w *world, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).close) }},
+	{"upstream left", onDaemons, func(w *world, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).drain) }},
+	{"upstream slow", onDaemons, func(w *world, d time.Duration) {
+		u := w.daemon().upstream
+		w.with(u, func() { u.work = 400 * time.Millisecond }, d, func() { u.work = 20 * time.Millisecond })
+	}},
+	{"upstream failing", onDaemons, func(w *world, d time.Duration) {
+		u := w.daemon().upstream
+		w.with(u, func() { u.failing = 0.5 }, d, func() { u.failing = 0 })
+	}},
+	{"links delayed", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkDelay) }},
+	{"links reset", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkReset) }},
+	{"links silent one way", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.daemon(), d, linkOneWay) }},
+	{"links silent", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.daemon(), d, linkCut) }},
+	{"control cut off", onControl, func(w *world, d time.Duration) { w.disturbLinks(w.control(), d, linkCut) }},
+	{"control cut off one way", onControl, func(w *world, d time.Duration) { w.disturbLinks(w.control(), d, linkOneWay) }},
+	{"control stopped as planned", onControl, func(w *world, _ time.Duration) { w.restart(w.control()) }},
+	{"control killed", onControl, func(w *world, d time.Duration) { w.crash(w.control(), d) }},
+	{"control frozen", onControl, func(w *world, d time.Duration) { w.freeze(w.control(), d) }},
+	{"control lost its disk", onControl, func(w *world, d time.Duration) { w.loseDisk(w.control(), d) }},
+	{"all control killed", onControl, func(w *world, d time.Duration) {
+		var all sync.WaitGroup
+		for _, v := range w.controls {
+			all.Go(func() { w.crash(v, d/4) })
+		}
+		all.Wait()
+	}},
+}
+
+// activity counts the faults that are going on.
+type activity struct {
+	control sync.Mutex // one fault of control at a time
+
+	mu      sync.Mutex
+	active  int
+	planned int       // of these, planned stops
+	since   time.Time // of the last begin or end of another fault
+}
+
+// calmAfter is how long the effects of a fault may last after its end.
+const calmAfter = 3 * time.Second
+
+// calm reports whether nothing but planned stops has gone on for a while.
+func (a *activity) calm() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.active == a.planned && time.Since(a.since) > calmAfter
+}
+
+func (a *activity) begin(harmless bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active++
+	if harmless {
+		a.planned++
+	} else {
+		a.since = time.Now()
+	}
+}
+
+func (a *activity) end(harmless bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+	if harmless {
+		a.planned--
+	} else {
+		a.since = time.Now()
+	}
+}
+
+// pick draws a number for the schedule.
+func (w *world) pick(n int) int {
+	w.drawing.Lock()
+	defer w.drawing.Unlock()
+	return w.random.IntN(n)
+}
+
+func (w *world) daemon() *vm  { return w.daemons[w.pick(len(w.daemons))] }
+func (w *world) control() *vm { return w.controls[w.pick(len(w.controls))] }
+func (w *world) anyVM() *vm   { return w.all()[w.pick(len(w.controls)+len(w.daemons))] }
+
+// disturb lets faults strike in series and overlapping until ctx ends, and returns
+// when all have ended.
+func (w *world) disturb(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for ctx.Err() == nil {
+		f := faults[w.pick(len(faults))]
+		d := time.Duration(300+w.pick(3000)) * time.Millisecond
+		all.Go(func() { w.strike(ctx, f, d) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(100+w.pick(1500)) * time.Millisecond):
+		}
+	}
+}
+
+func (w *world) strike(ctx context.Context, f fault, d time.Duration) {
+	if f.kind == onControl {
+		w.activity.control.Lock()
+		defer w.activity.control.Unlock()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	w.activity.begin(f.kind == planned)
+	defer w.activity.end(f.kind == planned)
+	w.t.Logf("%s %s for %s", time.Now().Format("15:04:05.000"), f.name, d)
+	f.strike(w, d)
+	if f.kind == onControl {
+		time.Sleep(2 * time.Second) // the group is whole again before the next loss
+	}
+}
+
+// busy keeps two faults from the same process.
+func (v *vm) busy(f func()) {
+	if !v.disturbed.TryLock() {
+		return
+	}
+	defer v.disturbed.Unlock()
+	f()
+}
+
+func (w *world) restart(v *vm) {
+	v.busy(func() {
+		v.signal(syscall.SIGTERM)
+		v.await(grace)
+		v.settings.FirstStart = false
+		v.writeSettings()
+		v.start()
+	})
+}
+
+func (w *world) crash(v *vm, d time.Duration) {
+	v.busy(func() {
+		v.kill()
+		time.Sleep(d / 2)
+		v.settings.FirstStart = false
+		v.writeSettings()
+		v.start()
+	})
+}
+
+func (w *world) freeze(v *vm, d time.Duration) {
+	v.busy(func() {
+		v.signal(syscall.SIGSTOP)
+		time.Sleep(d)
+		v.signal(syscall.SIGCONT)
+	})
+}
+
+func (w *world) loseDisk(v *vm, d time.Duration) {
+	v.busy(func() {
+		v.kill()
+		if err := os.RemoveAll(filepath.Join(w.dir, v.name)); err != nil {
+			w.judge.violate("harness: %v", err)
+		}
+		time.Sleep(d / 2)
+		v.settings.FirstStart = false
+		v.writeSettings()
+		v.start()
+		time.Sleep(5 * time.Second) // until the group has replaced it
+	})
+}
+
+// reload changes the seeds of a running process, with a signal or without.
+func (w *world) reload(v *vm) {
+	v.busy(func() {
+		v.settings.Seeds = append(v.settings.Seeds[1:], v.settings.Seeds[0])
+		v.writeSettings()
+		if w.pick(2) == 0 {
+			v.signal(syscall.SIGHUP)
+		}
+	})
+}
+
+func (w *world) replaceUpstream(v *vm, d time.Duration, leave func(*upstream)) {
+	v.busy(func() {
+		leave(v.upstream)
+		time.Sleep(d / 2)
+		v.upstream.begin()
+	})
+}
+
+func (w *world) with(u *upstream, begin func(), d time.Duration, end func()) {
+	change := func(f func()) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		f()
+	}
+	change(begin)
+	time.Sleep(d)
+	change(end)
+}
+
+type linkFault int
+
+const (
+	linkDelay linkFault = iota
+	linkReset
+	linkOneWay
+	linkCut
+)
+
+// disturbLinks disturbs all links of one VM.
+func (w *world) disturbLinks(v *vm, d time.Duration, f linkFault) {
+	each := func(do func(sender bool, proxy proxy)) {
+		for ends, proxies := range w.links {
+			for _, p := range proxies {
+				if ends[0] == v || ends[1] == v {
+					do(ends[0] == v, p)
+				}
+			}
+		}
+	}
+	switch f {
+	case linkDelay:
+		each(func(_ bool, p proxy) { p.Delay(time.Duration(5+w.pick(60)) * time.Millisecond) })
+	case linkReset:
+		each(func(_ bool, p proxy) { p.Reset() })
+	case linkOneWay:
+		each(func(sender bool, p proxy) { p.Cut(sender, !sender) }) // what the VM sends vanishes
+	case linkCut:
+		each(func(_ bool, p proxy) { p.Cut(true, true) })
+	}
+	time.Sleep(d)
+	each(func(_ bool, p proxy) {
+		p.Delay(0)
+		p.Cut(false, false)
+	})
+}
+
+// proxy is what a fault does to a link.
+type proxy interface {
+	Delay(time.Duration)
+	Reset()
+	Cut(to, from bool)
+}
