fleet: a session counts as working by the age of its newest state, ways included

Reading the path for it found one hole that gives this symptom: a daemon judged its replica by when an update arrived and by the age that the replica had stated when it sent it, never by how long the update was on the way. On a link whose queue grows, updates keep coming, each later than the last. Ruled out: a replica that states a fresh confirmation for old state (a confirmation counts only once the commit index it names is reached, by echo) and a lost delta (deltas of two sessions are supersets of what is missing). Requests go twice a second and each is answered at once, in place of two unasked updates. Before/after: TestReplicaWithLateUpdatesIsLeft stayed at the squeezed replica for its 60 s before; it passes now. The other tests of fleet pass.

--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -17,8 +17,10 @@
 
 // The periods of an Agent.
 const (
-	// renewEvery is the interval of requests on a quiet session.
-	renewEvery = time.Second
+	// renewEvery is the interval of requests on a quiet session. Each is answered
+	// at once, and with the ways and the confirmation age, two or three tenths of a
+	// second, it must stay well below attend.StaleAfter.
+	renewEvery = 500 * time.Millisecond
 	// watchEvery is how often sessions are looked at.
 	watchEvery = 100 * time.Millisecond
 	// openTimeout bounds the time until the first update of a session. It covers a
--- a/fleet/attendee.go
+++ b/fleet/attendee.go
@@ -25,7 +25,8 @@
 	service *Service
 	address string
 	cancel  context.CancelCauseFunc
-	held    uint64 // index that the daemon has got, owned by send
+	held    uint64        // index that the daemon has got, owned by send
+	asked   chan struct{} // a request waits for its answer
 
 	mu     sync.Mutex
 	member *api.FleetMember // as announced last, nil while the daemon only looks
@@ -41,6 +42,10 @@
 	}
 	at.echo = r.Sequence
 	at.heard = at.service.clock()
+	select {
+	case at.asked <- struct{}{}:
+	default:
+	}
 }
 
 // entry is the member entry that the daemon announced here, nil if it only
@@ -75,14 +80,18 @@
 	}
 }
 
-// send sends an update when the state changed, when the first request came and
-// at least once in updateEvery.
+// send sends an update when the state changed, when the replica got in touch with
+// its quorum and in answer to each request.
 func (at *attendee) send(ctx context.Context, stream grpc.BidiStreamingServer[api.AttendRequest, api.AttendUpdate]) error {
 	source := at.service.control.ConfigSource()
 	var controls []*api.ReplicaRef
-	ticker := time.NewTicker(updateEvery)
+	ticker := time.NewTicker(silenceEvery)
 	defer ticker.Stop()
 	for {
+		select {
+		case <-at.asked: // answered with what follows
+		default:
+		}
 		changed, regained := source.Changed(), at.service.touch.regained() // taken before the state is read
 		u := at.update()
 		if current := at.service.controls(); !sameReplicas(current, controls) {
@@ -96,9 +105,8 @@
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-changed:
-			ticker.Reset(updateEvery)
 		case <-regained:
-			ticker.Reset(updateEvery)
+		case <-at.asked:
 		case <-ticker.C:
 			if at.silent() {
 				return errSilentSession
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -29,9 +29,10 @@
 	t        *testing.T
 	seeds    []string
 	replicas map[string]*replica
-	// cut holds the addresses that nobody can connect to.
-	mu  sync.Mutex
-	cut map[string]bool
+	mu       sync.Mutex
+	cut      map[string]bool // addresses that nobody can connect to
+	// squeezed are addresses from which daemons get less than is sent to them.
+	squeezed map[string]bool
 }
 
 type replica struct {
@@ -41,7 +42,7 @@
 }
 
 func newGroup(t *testing.T, replicas int) *group {
-	g := &group{t: t, replicas: map[string]*replica{}, cut: map[string]bool{}}
+	g := &group{t: t, replicas: map[string]*replica{}, cut: map[string]bool{}, squeezed: map[string]bool{}}
 	var listeners []net.Listener
 	for range replicas {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -102,6 +103,41 @@
 	}
 }
 
+// squeezedConn is a connection whose answers wait in a growing queue while its
+// address is squeezed: 24 bytes in three quarters of a second are about half of
+// the updates of a quiet session.
+type squeezedConn struct {
+	net.Conn
+	group   *group
+	address string
+}
+
+func (s *squeezedConn) Read(p []byte) (int, error) {
+	s.group.mu.Lock()
+	squeezed := s.group.squeezed[s.address]
+	s.group.mu.Unlock()
+	if squeezed {
+		time.Sleep(750 * time.Millisecond)
+		p = p[:min(len(p), 24)]
+	}
+	return s.Conn.Read(p)
+}
+
+// dialAsDaemon opens connections of daemons, which can be squeezed.
+func (g *group) dialAsDaemon(ctx context.Context, address string) (net.Conn, error) {
+	c, err := g.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &squeezedConn{c, g, address}, nil
+}
+
+func (g *group) squeeze(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.squeezed[address] = true
+}
+
 func (g *group) silence(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -167,7 +203,7 @@
 func (g *group) daemon(address, zone string) *daemon {
 	d := &daemon{}
 	d.Agent = NewAgent(AgentConfig{
-		Address: address, Zone: zone, Region: "region", RegionOf: func(string) string { return "region" }, Seeds: g.seeds[:1], Dial: g.dial,
+		Address: address, Zone: zone, Region: "region", RegionOf: func(string) string { return "region" }, Seeds: g.seeds[:1], Dial: g.dialAsDaemon,
 		Log: logging.New(io.Discard), Clock: time.Now, Changed: d.changed,
 	})
 	d.Announce(&api.FleetMember{Service: "orders"})
@@ -242,6 +278,21 @@
 	require.NotEqual(t, g.seeds[1], d.Attended())
 }
 
+// TestReplicaWithLateUpdatesIsLeft guards daemons whose replica is healthy behind a
+// link on which updates wait ever longer: one that comes is no sign of life of the
+// present.
+func TestReplicaWithLateUpdatesIsLeft(t *testing.T) {
+	g := newGroup(t, 3)
+	d := g.daemon("10.0.0.1:1", "zone-1")
+	g.put(0, 1)
+	g.await(d, func(s State) bool { return s.Routing.GetNumber() == 1 })
+	require.Eventually(t, func() bool { return d.Attended() == g.seeds[1] }, patience, 5*time.Millisecond)
+	g.squeeze(g.seeds[1])
+	require.Eventually(t, func() bool { return d.Attended() != "" && d.Attended() != g.seeds[1] }, patience, 5*time.Millisecond)
+	g.put(1, 2)
+	g.await(d, func(s State) bool { return s.Routing.GetNumber() == 2 })
+}
+
 // TestStoppedReplicasMembersStay guards the table of upstreams: daemons whose
 // replica stops attend another one and stay members.
 func TestStoppedReplicasMembersStay(t *testing.T) {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -21,11 +21,10 @@
 
 // The periods of a Service.
 const (
-	// updateEvery is the longest time between two updates of a session. It must
-	// stay well below attend.SilentAfter.
-	updateEvery = 500 * time.Millisecond
+	// silenceEvery is how often a session is checked for silence.
+	silenceEvery = time.Second
 	// sessionSilence is the time without a request after which a session ends;
-	// daemons send one a second.
+	// daemons send two a second.
 	sessionSilence = 4 * time.Second
 	// reconcileEvery is how often entries that are not yet as announced are
 	// proposed again.
@@ -125,7 +124,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(stream.Context())
 	defer cancel(nil)
-	at := &attendee{service: s, address: first.PeerAddress, cancel: cancel, held: first.HeldIndex}
+	at := &attendee{service: s, address: first.PeerAddress, cancel: cancel, held: first.HeldIndex, asked: make(chan struct{}, 1)}
 	at.note(first)
 	if first.Member != nil {
 		s.announced(at)
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -21,7 +21,7 @@
 	renewed  time.Time
 	member   *api.FleetMember // sent last
 	heard    time.Time        // last update, zero before the first
-	touched  time.Time        // last update from a replica in touch with its quorum
+	asOf     time.Time        // of which the replica is known to have been up to date, zero if never
 	age      time.Duration    // of the confirmation in the last update
 }
 
@@ -84,7 +84,7 @@
 
 // note records an update. It returns an upper bound of the time since the
 // confirmation that the update carries: the update was sent after the request
-// that it echoes.
+// that it echoes, however long it was on the way.
 func (s *session) note(now time.Time, u *api.AttendUpdate) (age time.Duration, known bool) {
 	s.heard = now
 	at, echoed := s.sent[u.Echo]
@@ -97,8 +97,8 @@
 		return 0, false
 	}
 	s.age = time.Duration(u.ConfirmationAgeMs) * time.Millisecond
-	if s.age < attend.StaleAfter {
-		s.touched = now
+	if asOf := at.Add(-s.age); echoed && asOf.After(s.asOf) {
+		s.asOf = asOf
 	}
 	return now.Sub(at) + s.age, echoed
 }
@@ -111,7 +111,8 @@
 	return now.Sub(s.heard)
 }
 
-// works reports whether updates come, from a replica in touch with its quorum.
+// works reports whether updates come soon after they were sent, from a replica in
+// touch with its quorum.
 func (s *session) works(now time.Time) bool {
-	return !s.touched.IsZero() && now.Sub(s.touched) <= attend.SilentAfter
+	return !s.asOf.IsZero() && now.Sub(s.asOf) <= attend.StaleAfter
 }
