admit, forward: trial: clients are refused early if calls further down are turned away

Ruled out: ids that tell which calls belong together (not promised); levels reported upwards as on the declared path (the calls of a request have priorities of their own). Change: core/admit.Throttle, one for each route at each entrance. It sees from the end of whole requests how many fail with a call further down, and refuses the part that would, lower classes first, as not run, with a Retry-After spread over a second. Calls of the local upstream, known by its address, are never turned away. A refusal of a client no longer counts as a failed call of the local upstream once such a call has been seen. TestRequestsAreTurnedAwayBeforeTheyFail needs the change to pass.

--- /dev/null
+++ b/core/admit/throttle.go
@@ -0,0 +1,122 @@
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// The parameters of a Throttle.
+const (
+	throttleBuckets = 10
+	// throttleWindow is how far back results count: some service times of a chain of
+	// calls, and short against the surges of seconds that it answers.
+	throttleWindow = 2 * time.Second
+	// throttleSlack is the number of requests in a window that are let through
+	// whatever became of the others, so that a recovery is noticed.
+	throttleSlack = 3
+	// maxThrottled is the largest part that is refused. No route is starved.
+	maxThrottled = 0.85
+)
+
+// throttledFailures is, by class, the part of the requests let through that may fail
+// further down. Above it fewer are let through than before, below it more. Lower
+// classes give way first.
+var throttledFailures = [classCount]float64{chain.Sheddable: 0.1, chain.Default: 0.2, chain.Critical: 0.25}
+
+// throttleGrowth is how many requests are let through for each one that ended well
+// while none fails further down: after an overload their number doubles with each
+// window.
+const throttleGrowth = 2
+
+// Throttle refuses requests of one route at the entrance because calls that they
+// lead to are turned away further down. It answers overload of a deep service that a
+// request needs several times: if each of five calls is refused with a probability of
+// a fifth, two thirds of the requests fail after they have used the room of the others.
+// Which calls belong together is not known there; the entrance sees it from the end of
+// the whole request. The zero value is ready for use.
+type Throttle struct {
+	mu      sync.Mutex
+	at      int64 // number of the newest bucket
+	buckets [throttleBuckets]throttleCounts
+}
+
+// throttleCounts counts the requests that ended in one part of the window.
+type throttleCounts struct{ well, deep, refused float64 }
+
+// Refused returns the part of the requests with the class of p that is refused now.
+func (t *Throttle) Refused(now time.Time, p chain.Priority) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused(now, p.Class())
+}
+
+// Admits reports whether a request may go on, and counts it if not. Requests with a
+// high subordinate priority go on, so that a caller who comes again with the same
+// request gets the same verdict.
+func (t *Throttle) Admits(now time.Time, p chain.Priority) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	class := p.Class()
+	sub := float64(p-class.MinPriority()) / float64(chain.Default.MinPriority())
+	if sub >= t.refused(now, class) {
+		return true
+	}
+	t.buckets[t.advance(now)].refused++
+	return false
+}
+
+// Ended counts the end of a request that was let through: well, or with the failure
+// of a call further down. Other ends say nothing.
+func (t *Throttle) Ended(now time.Time, failure *chain.Failure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := &t.buckets[t.advance(now)]
+	switch {
+	case failure == nil:
+		b.well++
+	case failure.Deep:
+		b.deep++
+	}
+}
+
+func (t *Throttle) refused(now time.Time, class chain.Class) float64 {
+	t.advance(now)
+	var sum throttleCounts
+	for _, b := range t.buckets {
+		sum.well += b.well
+		sum.deep += b.deep
+		sum.refused += b.refused
+	}
+	all := sum.well + sum.deep + sum.refused
+	if all == 0 {
+		return 0
+	}
+	let := sum.well*throttleMargin(sum, throttledFailures[class]) + throttleSlack
+	return min(max(1-let/all, 0), maxThrottled)
+}
+
+// throttleMargin is how many requests are let through for each one that ended well.
+// It is such that their number stays the same while the allowed part fails.
+func throttleMargin(c throttleCounts, allowed float64) float64 {
+	steady := 1 / (1 - allowed)
+	if c.well+c.deep == 0 {
+		return steady
+	}
+	failures := c.deep / (c.well + c.deep)
+	return steady + (throttleGrowth-steady)*max(1-failures/allowed, 0)
+}
+
+// advance empties the buckets that are over and returns the present one.
+func (t *Throttle) advance(now time.Time) int {
+	n := now.UnixNano() / int64(throttleWindow/throttleBuckets)
+	if n-t.at >= throttleBuckets {
+		t.buckets, t.at = [throttleBuckets]throttleCounts{}, n
+	}
+	for t.at < n {
+		t.at++
+		t.buckets[t.at%throttleBuckets] = throttleCounts{}
+	}
+	return int(t.at % throttleBuckets)
+}
--- /dev/null
+++ b/core/admit/throttle_test.go
@@ -0,0 +1,195 @@
+package admit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+// chainScenario plays requests at several entrances, each of which needs a deep
+// service several times, one call after the other. A call that is turned away ends
+// its request.
+type chainScenario struct {
+	throttled bool
+	calls     int     // of each request
+	load      float64 // requests, as a part of those that the deep service can serve
+
+	now    time.Time
+	events eventHeap
+	seq    int
+	rng    *rand.Rand
+	nextID uint64
+
+	throttles []*Throttle
+	gates     []*Gate
+	waiting   map[uint64]func(refused bool)
+
+	offered, served map[chain.Class]int
+}
+
+const (
+	chainGates   = 6
+	chainSlots   = 9
+	chainService = 40 * time.Millisecond
+	chainTime    = 20 * time.Second
+	// chainSettled is from when on requests count.
+	chainSettled = 4 * time.Second
+)
+
+// capacity is the number of requests per second that the deep service can serve.
+func (s *chainScenario) capacity() float64 {
+	return chainGates * chainSlots / chainService.Seconds() / float64(s.calls)
+}
+
+func (s *chainScenario) at(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now.Add(d), s.seq, do})
+}
+
+func (s *chainScenario) run() *chainScenario {
+	s.now, s.rng = simEpoch, rand.New(rand.NewPCG(1, 3))
+	s.waiting = map[uint64]func(bool){}
+	s.offered, s.served = map[chain.Class]int{}, map[chain.Class]int{}
+	for range 12 {
+		s.throttles = append(s.throttles, &Throttle{})
+	}
+	for range chainGates {
+		g := New(Config{Slots: chainSlots, Fixed: true, MaxQueue: 8 * chainSlots})
+		s.gates = append(s.gates, g)
+		s.at(0, func() { s.tick(g) })
+	}
+	s.at(0, s.arrive)
+	for len(s.events) > 0 && s.now.Sub(simEpoch) < chainTime {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	return s
+}
+
+func (s *chainScenario) tick(g *Gate) {
+	s.apply(g, g.Tick(s.now))
+	s.at(10*time.Millisecond, func() { s.tick(g) })
+}
+
+// arrive creates requests, a third of them critical.
+func (s *chainScenario) arrive() {
+	class := chain.Sheddable
+	if s.rng.IntN(3) == 0 {
+		class = chain.Critical
+	}
+	priority := class.MinPriority() + chain.Priority(s.rng.IntN(128))
+	counts := s.now.Sub(simEpoch) >= chainSettled
+	if counts {
+		s.offered[class]++
+	}
+	// One throttle for each class, as each route has its own.
+	t := s.throttles[s.rng.IntN(len(s.throttles)/2)*2+int(class)/2]
+	if !s.throttled || t.Admits(s.now, priority) {
+		s.call(s.calls, func(ok bool) {
+			if !ok {
+				t.Ended(s.now, &chain.Failure{Outcome: chain.Failed, Reason: chain.ReasonHandlerError, Deep: true})
+				return
+			}
+			t.Ended(s.now, nil)
+			if counts {
+				s.served[class]++
+			}
+		})
+	}
+	s.at(time.Duration(s.rng.ExpFloat64()/(s.load*s.capacity())*float64(time.Second)), s.arrive)
+}
+
+// call makes the calls of a request, which all have ids of their own.
+func (s *chainScenario) call(left int, done func(ok bool)) {
+	if left == 0 {
+		done(true)
+		return
+	}
+	s.nextID++
+	id, g := s.nextID, s.gates[s.rng.IntN(len(s.gates))]
+	s.waiting[id] = func(refused bool) {
+		if refused {
+			done(false)
+			return
+		}
+		s.at(time.Duration(float64(chainService)*(0.5+s.rng.Float64())), func() {
+			s.apply(g, g.Finish(s.now, id, Result{OK: true}))
+			s.call(left-1, done)
+		})
+	}
+	priority := chain.Default.MinPriority() + chain.Priority(s.rng.IntN(128))
+	s.apply(g, g.Arrive(s.now, Request{ID: id, Priority: priority, Deadline: s.now.Add(700 * time.Millisecond), Route: "r"}))
+}
+
+func (s *chainScenario) apply(_ *Gate, actions []Action) {
+	for _, a := range actions {
+		decided := s.waiting[a.ID]
+		delete(s.waiting, a.ID)
+		decided(a.Kind == Refuse)
+	}
+}
+
+// share is the number of whole requests per second, as a part of the capacity.
+func (s *chainScenario) share() float64 {
+	n := s.served[chain.Critical] + s.served[chain.Sheddable]
+	return float64(n) / (chainTime - chainSettled).Seconds() / s.capacity()
+}
+
+// TestThrottleKeepsRequestsWhole guards callers whose requests need a full service
+// several times: no more of its capacity is lost than the part of the requests that
+// may fail.
+func TestThrottleKeepsRequestsWhole(t *testing.T) {
+	for _, load := range []float64{1.5, 2, 3} {
+		without := (&chainScenario{calls: 5, load: load}).run()
+		with := (&chainScenario{calls: 5, load: load, throttled: true}).run()
+		t.Logf("load %.1f: whole requests %.2f of the capacity without, %.2f with early refusal", load, without.share(), with.share())
+		require.Greater(t, with.share(), 1-throttledFailures[chain.Critical], "load %.1f", load)
+		require.Greater(t, with.share(), without.share())
+	}
+}
+
+// TestThrottleSparesHigherClasses guards the order of classes where the deep service
+// cannot tell them apart.
+func TestThrottleSparesHigherClasses(t *testing.T) {
+	s := (&chainScenario{calls: 5, load: 2, throttled: true}).run()
+	critical := float64(s.served[chain.Critical]) / float64(s.offered[chain.Critical])
+	sheddable := float64(s.served[chain.Sheddable]) / float64(s.offered[chain.Sheddable])
+	t.Logf("served: critical %.2f, sheddable %.2f", critical, sheddable)
+	require.Greater(t, critical, 1-throttledFailures[chain.Critical])
+	require.Greater(t, critical, sheddable)
+	require.Greater(t, sheddable, 0.1, "nobody is starved")
+}
+
+// TestThrottleWithoutOverload guards calm days: single failures refuse nobody.
+func TestThrottleWithoutOverload(t *testing.T) {
+	s := (&chainScenario{calls: 5, load: 0.6, throttled: true}).run()
+	require.InDelta(t, 0.6, s.share(), 0.05)
+}
+
+// TestThrottleEnds guards the recovery: once calls are served again, all requests go
+// on within some windows.
+func TestThrottleEnds(t *testing.T) {
+	var th Throttle
+	now := simEpoch
+	deep := &chain.Failure{Outcome: chain.Failed, Deep: true}
+	step := func(d time.Duration, failure *chain.Failure) (refused int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			if p := chain.Priority(rand.N(128)); !th.Admits(now, p) {
+				refused++
+				continue
+			}
+			th.Ended(now, failure)
+		}
+		return refused
+	}
+	require.NotZero(t, step(5*time.Second, deep))
+	require.InDelta(t, maxThrottled, th.Refused(now, 0), 0.01, "some are let through all the time")
+	step(8*time.Second, nil)
+	require.Zero(t, step(time.Second, nil))
+}
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -10,7 +10,7 @@
 // meanings tells what a reason in the final answer means to its reader.
 var meanings = map[chain.Reason]string{
 	chain.ReasonOverload:      "refused, not run: no upstream that was asked had room for its priority",
-	chain.ReasonDownstream:    "refused, not run: a service below is saturated",
+	chain.ReasonDownstream:    "refused, not run: calls that such requests lead to are turned away by a service below",
 	chain.ReasonDraining:      "refused, not run: the upstreams that were asked are leaving or their daemons stop",
 	chain.ReasonNoUpstream:    "refused, not run: no usable upstream of the service was known, or another run answered at its address",
 	chain.ReasonConnect:       "no connection to the upstream or to the daemon beside it",
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
@@ -22,7 +23,10 @@
 	arrived time.Time
 	route   *routing.Route
 	service *service
-	call    call
+	// throttle is nil for a call of the local upstream: turned away early, it would
+	// end the request that made it.
+	throttle *admit.Throttle
+	call     call
 	client  time.Duration // that the client waits; 0 if it did not say
 	limit   time.Time     // when it must be answered
 
@@ -45,7 +49,31 @@
 	f.record(&r.call, "received", nil, f.cfg.Now(), f.cfg.Now().Sub(r.arrived))
 	ctx, cancel := context.WithDeadline(x.Context(), x.Arrived.Add(r.limit.Sub(r.arrived)+r.margin()))
 	defer cancel()
-	r.finish(r.run(ctx))
+	res := r.turnAway()
+	if res == nil {
+		res = r.run(ctx)
+		r.noteEnd(res.failure)
+	}
+	r.finish(res)
+}
+
+// turnAway refuses a request early if too many of its route fail further down, and
+// is nil if it may go on.
+func (r *request) turnAway() *result {
+	now := r.f.cfg.Now()
+	if r.throttle == nil || r.throttle.Admits(now, r.call.priority) {
+		return nil
+	}
+	failure := chain.NewFailure(chain.NotRun, chain.ReasonDownstream, "services below turn away too many calls of this route")
+	r.f.recordThrottle(r, r.throttle.Refused(now, r.call.priority), failure, now)
+	return &result{failure: failure, retryAfter: admit.RetryAfter(r.call.priority)}
+}
+
+// noteEnd tells the throttle of the route how a request ended.
+func (r *request) noteEnd(failure *chain.Failure) {
+	if r.throttle != nil {
+		r.throttle.Ended(r.f.cfg.Now(), failure)
+	}
 }
 
 // margin is how long the entrance waits past the limit. Past the time of the
@@ -73,6 +101,11 @@
 		return chain.NewFailure(chain.NotRun, chain.ReasonUnknownRoute, "no route matches host and path")
 	}
 	r.service = v.services[v.splits[r.route].Next()]
+	if f.local.isOwnCall(r.x.Remote()) {
+		f.local.callsSeen.Store(true)
+	} else {
+		r.throttle = v.throttles[r.route.Name]
+	}
 	r.client = clientWait(req.Header.Get(f.cfg.Dialect.Deadline))
 	r.limit = r.arrived.Add(waitFor(r.route, r.client))
 	r.call = call{
@@ -354,7 +387,7 @@
 	if err != nil && failure == nil {
 		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
 	}
-	if failure != nil && failure.Outcome != chain.OK {
+	if failure != nil && failure.Outcome != chain.OK && (r.throttle == nil || !r.f.local.callsSeen.Load()) {
 		r.f.local.noteFailedCall()
 	}
 	r.f.metrics.answered(failure, now.Sub(r.arrived))
--- a/forward/local.go
+++ b/forward/local.go
@@ -23,6 +23,7 @@
 // those that have not learnt it yet.
 type local struct {
 	f    *Forwarder
+	host string // of the upstream
 	pool httpwire.Pool
 
 	mu       sync.Mutex
@@ -35,6 +36,7 @@
 	leaving    atomic.Bool // the daemon stops
 	load       runLoad
 	lastFailed atomic.Int64 // steady nanoseconds of the last request at the entrance that failed
+	callsSeen  atomic.Bool  // a request came from the address of the upstream
 	ctx        context.Context
 }
 
@@ -46,6 +48,7 @@
 
 func newLocal(f *Forwarder) *local {
 	l := &local{f: f, presence: presence.New(f.cfg.Service), ctx: context.Background()}
+	l.host, _, _ = net.SplitHostPort(f.cfg.UpstreamAddress) // the address was checked with the settings
 	l.pool.Dial = l.dial
 	return l
 }
@@ -234,9 +237,16 @@
 	return r
 }
 
-// noteFailedCall records that a request at the entrance failed. It may be a call
-// of the upstream, which does not tell; a failure of the upstream while one
-// failed is taken as its consequence.
+// isOwnCall reports whether a request comes from the address of the upstream, which
+// is its only caller on this VM.
+func (l *local) isOwnCall(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	return err == nil && host == l.host
+}
+
+// noteFailedCall records that a request at the entrance failed that may be a call of
+// the upstream: one from its address, or any as long as none was seen from there. A
+// failure of the upstream while one failed is taken as its consequence.
 func (l *local) noteFailedCall() { l.lastFailed.Store(l.f.cfg.Now().UnixNano()) }
 
 func resultName(f *chain.Failure) string {
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/presence"
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 )
 
@@ -384,6 +385,44 @@
 	require.EqualValues(t, 1, reached.Load())
 }
 
+// TestRequestsAreTurnedAwayBeforeTheyFail guards a service further down that is short
+// of room: clients are refused at the entrance instead of failing half way, calls of
+// the upstream go on, and clients are served again once calls are.
+func TestRequestsAreTurnedAwayBeforeTheyFail(t *testing.T) {
+	var failing atomic.Bool
+	var f *fleetOf
+	var a *upstream
+	a = newUpstream(t, "i-1", func(req *http.Request, c net.Conn) {
+		if failing.Load() {
+			f.daemons[0].local.noteFailedCall()
+			a.reply(c, req, 500, "")
+			return
+		}
+		a.reply(c, req, 200, "i-1")
+	})
+	f = newFleet(t, ordersTable(), a)
+	f.daemons[0].local.callsSeen.Store(true) // what clients are refused is no call
+	const client = "127.0.0.2"
+	failing.Store(true)
+	require.Eventually(t, func() bool {
+		resp, body := f.send(0, sent{kind: routing.Idempotent, from: client})
+		return resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(body, string(chain.ReasonDownstream)) && resp.Header.Get("Retry-After") != ""
+	}, patience, time.Millisecond)
+	for range 20 {
+		resp, _ := f.send(0, sent{kind: routing.Idempotent})
+		require.Equal(t, http.StatusInternalServerError, resp.StatusCode, "a call of the upstream is not turned away")
+	}
+	failing.Store(false)
+	require.Eventually(t, func() bool {
+		for range 10 {
+			if resp, _ := f.send(0, sent{kind: routing.Idempotent, from: client}); resp.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}, patience, time.Millisecond)
+}
+
 // TestPeerThatBreaksBeforeItAskedForTheBody guards bookings and uploads against
 // the loss of the daemon at whose gate they wait: they have not run, so they go
 // elsewhere. Once the body was asked for that is not certain any more.
--- a/forward/record.go
+++ b/forward/record.go
@@ -59,3 +59,12 @@
 	noteFailure(&d, failure)
 	f.decisions.Record(d)
 }
+
+// recordThrottle writes that a request was refused early, and which part of its
+// route is.
+func (f *Forwarder) recordThrottle(r *request, part float64, failure *chain.Failure, now time.Time) {
+	d := f.decision(&r.call, "throttle", now, now.Sub(r.arrived))
+	d.Refused = part
+	noteFailure(&d, failure)
+	f.decisions.Record(d)
+}
--- a/forward/view.go
+++ b/forward/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/retry"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
@@ -21,7 +22,9 @@
 	table    *routing.Table
 	matcher  *routing.Matcher
 	splits   map[*routing.Route]*routing.Split
-	services map[string]*service
+	// throttles outlast changes of the configuration, as routes do.
+	throttles map[string]*admit.Throttle // by name of the route
+	services  map[string]*service
 	slots    map[string]int // of the upstreams of the local service, by id
 }
 
@@ -49,10 +52,10 @@
 	}
 	before := f.view.Load()
 	if before != nil && before.table == fleet.Table {
-		f.publish(fleet, before.matcher, before.splits)
+		f.publish(fleet, before.matcher, before.splits, before.throttles)
 		return
 	}
-	f.publish(fleet, routing.NewMatcher(fleet.Table), f.newSplits(fleet.Table))
+	f.publish(fleet, routing.NewMatcher(fleet.Table), f.newSplits(fleet.Table), newThrottles(before, fleet.Table))
 	f.cfg.Logger.Info().Uint64("configuration", fleet.Table.Number).Int("routes", len(fleet.Table.Routes)).
 		Int("services", len(fleet.Table.Services)).Msg("configuration in force")
 }
@@ -91,7 +94,20 @@
 // with the same target of a split.
 func (f *Forwarder) skip() int { return int(f.cfg.Seed % 1000) }
 
-func (f *Forwarder) publish(fleet Fleet, m *routing.Matcher, splits map[*routing.Route]*routing.Split) {
+// newThrottles keeps the throttles of the routes that stay.
+func newThrottles(before *view, table *routing.Table) map[string]*admit.Throttle {
+	throttles := make(map[string]*admit.Throttle, len(table.Routes))
+	for _, r := range table.Routes {
+		if before != nil && before.throttles[r.Name] != nil {
+			throttles[r.Name] = before.throttles[r.Name]
+			continue
+		}
+		throttles[r.Name] = &admit.Throttle{}
+	}
+	return throttles
+}
+
+func (f *Forwarder) publish(fleet Fleet, m *routing.Matcher, splits map[*routing.Route]*routing.Split, throttles map[string]*admit.Throttle) {
 	services := make(map[string]*service, len(f.services))
 	for name, s := range f.services {
 		services[name] = s
@@ -100,7 +116,7 @@
 	for _, u := range fleet.Upstreams[f.cfg.Service] {
 		slots[u.ID] = u.Slots
 	}
-	f.view.Store(&view{table: fleet.Table, matcher: m, splits: splits, services: services, slots: slots})
+	f.view.Store(&view{table: fleet.Table, matcher: m, splits: splits, throttles: throttles, services: services, slots: slots})
 }
 
 // limits are those of the configuration in force.
--- a/logging/decisions.go
+++ b/logging/decisions.go
@@ -24,6 +24,7 @@
 	Configuration uint64        // number of the configuration that was followed, 0 if not told
 	Tier          string        // locality of the chosen upstream
 	Usable        int           // upstreams that were candidates in that tier
+	Refused       float64       // part of the requests of the route that is refused early
 	Load          Load          // of the gate that decided, or that was chosen
 	Remaining     time.Duration // before the deadline
 	Elapsed       time.Duration // since the request arrived at this process
@@ -205,6 +206,9 @@
 	if v.Load.Known {
 		e = e.Str("load", v.Load.String()).Int64("load_age_ms", v.Load.Age.Milliseconds())
 	}
+	if v.Refused > 0 {
+		e = e.Float64("refused_part", v.Refused)
+	}
 	if v.Outcome != "" {
 		e = e.Str("outcome", v.Outcome)
 	}
