admit, forward: trial: routes that only clients use are learnt from failures

Change: core/admit.Called: a run whose call fails fails right after it, while the failure of a client's request is followed by one of a run only by chance. Early refusal applies to routes that are known to be used by clients only.

--- /dev/null
+++ b/core/admit/called_test.go
@@ -0,0 +1,47 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCalledTellsRoutesApart guards calls against being taken for clients' requests,
+// with failures of both at once.
+func TestCalledTellsRoutesApart(t *testing.T) {
+	var c Called
+	rng := rand.New(rand.NewPCG(1, 4))
+	now := simEpoch
+	require.False(t, c.ByClients("lookup"), "nothing is known at first")
+	for range 400 {
+		now = now.Add(time.Duration(rng.ExpFloat64() * float64(50*time.Millisecond)))
+		if rng.IntN(2) == 0 {
+			c.Failed(now, "lookup")
+			continue
+		}
+		c.Failed(now, "internal")
+		now = now.Add(time.Duration(rng.IntN(5)) * time.Millisecond)
+		c.RunFailed(now)
+	}
+	require.True(t, c.ByClients("lookup"))
+	require.False(t, c.ByClients("internal"))
+}
+
+// TestCalledNoticesChange guards a route that upstreams begin to call.
+func TestCalledNoticesChange(t *testing.T) {
+	var c Called
+	now := simEpoch
+	for range 200 {
+		now = now.Add(time.Second)
+		c.Failed(now, "r")
+	}
+	require.True(t, c.ByClients("r"))
+	for range 100 {
+		now = now.Add(time.Second)
+		c.Failed(now, "r")
+		c.RunFailed(now.Add(time.Millisecond))
+	}
+	require.False(t, c.ByClients("r"))
+}
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -23,7 +23,7 @@
 // throttledFailures is, by class, the part of the requests let through that may fail
 // further down. Above it fewer are let through than before, below it more. Lower
 // classes give way first.
-var throttledFailures = [classCount]float64{chain.Sheddable: 0.1, chain.Default: 0.2, chain.Critical: 0.25}
+var throttledFailures = [classCount]float64{chain.Sheddable: 0.1, chain.Default: 0.2, chain.Critical: 0.35}
 
 // throttleGrowth is how many requests are let through for each one that ended well
 // while none fails further down: after an overload their number doubles with each
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -18,17 +18,15 @@
 
 // request is one request at the entrance.
 type request struct {
-	f       *Forwarder
-	x       *httpwire.Exchange
-	arrived time.Time
-	route   *routing.Route
-	service *service
-	// throttle is nil for a call of the local upstream: turned away early, it would
-	// end the request that made it.
-	throttle *admit.Throttle
+	f        *Forwarder
+	x        *httpwire.Exchange
+	arrived  time.Time
+	route    *routing.Route
+	service  *service
+	throttle *admit.Throttle // of the route
 	call     call
-	client  time.Duration // that the client waits; 0 if it did not say
-	limit   time.Time     // when it must be answered
+	client   time.Duration // that the client waits; 0 if it did not say
+	limit    time.Time     // when it must be answered
 
 	tries  int      // upstreams asked
 	sends  int      // of these, upstreams that the request arrived at
@@ -52,16 +50,17 @@
 	res := r.turnAway()
 	if res == nil {
 		res = r.run(ctx)
-		r.noteEnd(res.failure)
+		r.throttle.Ended(f.cfg.Now(), res.failure)
 	}
 	r.finish(res)
 }
 
 // turnAway refuses a request early if too many of its route fail further down, and
-// is nil if it may go on.
+// is nil if it may go on. A call of the local upstream always does: turned away, it
+// would end the request that made it.
 func (r *request) turnAway() *result {
 	now := r.f.cfg.Now()
-	if r.throttle == nil || r.throttle.Admits(now, r.call.priority) {
+	if !r.f.local.called.ByClients(r.route.Name) || r.throttle.Admits(now, r.call.priority) {
 		return nil
 	}
 	failure := chain.NewFailure(chain.NotRun, chain.ReasonDownstream, "services below turn away too many calls of this route")
@@ -69,13 +68,6 @@
 	return &result{failure: failure, retryAfter: admit.RetryAfter(r.call.priority)}
 }
 
-// noteEnd tells the throttle of the route how a request ended.
-func (r *request) noteEnd(failure *chain.Failure) {
-	if r.throttle != nil {
-		r.throttle.Ended(r.f.cfg.Now(), failure)
-	}
-}
-
 // margin is how long the entrance waits past the limit. Past the time of the
 // client nobody waits any more.
 func (r *request) margin() time.Duration {
@@ -101,11 +93,7 @@
 		return chain.NewFailure(chain.NotRun, chain.ReasonUnknownRoute, "no route matches host and path")
 	}
 	r.service = v.services[v.splits[r.route].Next()]
-	if f.local.isOwnCall(r.x.Remote()) {
-		f.local.callsSeen.Store(true)
-	} else {
-		r.throttle = v.throttles[r.route.Name]
-	}
+	r.throttle = v.throttles[r.route.Name]
 	r.client = clientWait(req.Header.Get(f.cfg.Dialect.Deadline))
 	r.limit = r.arrived.Add(waitFor(r.route, r.client))
 	r.call = call{
@@ -387,8 +375,8 @@
 	if err != nil && failure == nil {
 		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
 	}
-	if failure != nil && failure.Outcome != chain.OK && (r.throttle == nil || !r.f.local.callsSeen.Load()) {
-		r.f.local.noteFailedCall()
+	if failure != nil && failure.Outcome != chain.OK && r.route != nil {
+		r.f.local.noteFailed(now, r.route.Name)
 	}
 	r.f.metrics.answered(failure, now.Sub(r.arrived))
 	r.f.recordAnswer(r, status, failure, now)
--- a/forward/local.go
+++ b/forward/local.go
@@ -23,7 +23,6 @@
 // those that have not learnt it yet.
 type local struct {
 	f    *Forwarder
-	host string // of the upstream
 	pool httpwire.Pool
 
 	mu       sync.Mutex
@@ -35,8 +34,8 @@
 	gate       atomic.Pointer[gate.Gate]
 	leaving    atomic.Bool // the daemon stops
 	load       runLoad
-	lastFailed atomic.Int64 // steady nanoseconds of the last request at the entrance that failed
-	callsSeen  atomic.Bool  // a request came from the address of the upstream
+	lastFailed atomic.Int64 // steady nanoseconds of the last failure of what may be a call of the upstream
+	called     admit.Called // which routes the upstream calls
 	ctx        context.Context
 }
 
@@ -48,7 +47,6 @@
 
 func newLocal(f *Forwarder) *local {
 	l := &local{f: f, presence: presence.New(f.cfg.Service), ctx: context.Background()}
-	l.host, _, _ = net.SplitHostPort(f.cfg.UpstreamAddress) // the address was checked with the settings
 	l.pool.Dial = l.dial
 	return l
 }
@@ -229,26 +227,25 @@
 	}
 	r := l.send(ctx, c)
 	took := l.f.cfg.Now().Sub(begun)
-	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError && l.lastFailed.Load() >= begun.UnixNano() {
-		r.failure.Deep = true
+	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError {
+		l.called.RunFailed(l.f.cfg.Now())
+		r.failure.Deep = l.lastFailed.Load() >= begun.UnixNano()
 	}
 	l.f.metrics.ran(resultName(r.failure), took)
 	l.f.record(c, "ran", r.failure, l.f.cfg.Now(), took)
 	return r
 }
 
-// isOwnCall reports whether a request comes from the address of the upstream, which
-// is its only caller on this VM.
-func (l *local) isOwnCall(remote string) bool {
-	host, _, err := net.SplitHostPort(remote)
-	return err == nil && host == l.host
+// noteFailed records that a request at the entrance failed. Unless only clients use
+// its route it may be a call of the upstream; a failure of the upstream while one
+// failed is taken as its consequence.
+func (l *local) noteFailed(now time.Time, route string) {
+	l.called.Failed(now, route)
+	if !l.called.ByClients(route) {
+		l.lastFailed.Store(now.UnixNano())
+	}
 }
 
-// noteFailedCall records that a request at the entrance failed that may be a call of
-// the upstream: one from its address, or any as long as none was seen from there. A
-// failure of the upstream while one failed is taken as its consequence.
-func (l *local) noteFailedCall() { l.lastFailed.Store(l.f.cfg.Now().UnixNano()) }
-
 func resultName(f *chain.Failure) string {
 	if f == nil {
 		return chain.OK.String()
--- a/forward/view.go
+++ b/forward/view.go
@@ -19,13 +19,13 @@
 // view is the configuration in force. It does not change; the services are
 // shared by successive views.
 type view struct {
-	table    *routing.Table
-	matcher  *routing.Matcher
-	splits   map[*routing.Route]*routing.Split
+	table   *routing.Table
+	matcher *routing.Matcher
+	splits  map[*routing.Route]*routing.Split
 	// throttles outlast changes of the configuration, as routes do.
 	throttles map[string]*admit.Throttle // by name of the route
 	services  map[string]*service
-	slots    map[string]int // of the upstreams of the local service, by id
+	slots     map[string]int // of the upstreams of the local service, by id
 }
 
 // service is what this daemon knows of one service.
