--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -26,9 +26,9 @@
 var throttledFailures = [classCount]float64{chain.Sheddable: 0.1, chain.Default: 0.2, chain.Critical: 0.35}
 
 // throttleGrowth is how many requests are let through for each one that ended well
-// while none fails further down: after an overload their number doubles with each
+// while none fails further down: after an overload their number triples with each
 // window.
-const throttleGrowth = 2
+const throttleGrowth = 3
 
 // Throttle refuses requests of one route at the entrance because calls that they
 // lead to are turned away further down. It answers overload of a deep service that a
