--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -68,7 +68,8 @@
 }
 
 // Ended counts the end of a request that was let through: well, or with the failure
-// of a call further down. Other ends say nothing.
+// of a call that found no room further down. Other ends say nothing; fewer requests
+// would not prevent them.
 func (t *Throttle) Ended(now time.Time, failure *chain.Failure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -76,7 +77,7 @@
 	switch {
 	case failure == nil:
 		b.well++
-	case failure.Deep:
+	case failure.Deep && failure.Full:
 		b.deep++
 	}
 }
--- a/core/chain/outcome.go
+++ b/core/chain/outcome.go
@@ -44,6 +44,7 @@
 const (
 	ReasonNone              Reason = ""
 	ReasonOverload          Reason = "overload"                  // refused by an admission level or a full queue
+	ReasonUpstreamRefused   Reason = "upstream-refused"          // the upstream itself refused it, whatever its load
 	ReasonDownstream        Reason = "downstream-overload"       // refused early: a service further down is saturated
 	ReasonDeadline          Reason = "deadline"                  // the deadline passed or cannot be met
 	ReasonCancelled         Reason = "cancelled"                 // the caller left
@@ -81,6 +82,7 @@
 	Message string
 	Cause   error // nil if there is no underlying error
 	Deep    bool  // the refusal came from further down and must not be retried here
+	Full    bool  // of a deep failure: a service further down had no room
 }
 
 // NewFailure builds a Failure.
@@ -113,6 +115,12 @@
 // Unwrap returns the underlying error.
 func (f *Failure) Unwrap() error { return f.Cause }
 
+// LacksRoom reports whether a service was too busy for a request, here or further
+// down. Less load would have let it through.
+func (f *Failure) LacksRoom() bool {
+	return f.Outcome == NotRun && (f.Reason == ReasonOverload || f.Reason == ReasonDeadline) || f.Deep && f.Full
+}
+
 // HTTPStatus is the status code with which a failure is reported to a caller.
 func (f *Failure) HTTPStatus() int {
 	switch f.Reason {
@@ -142,7 +150,7 @@
 // RetryableByCaller reports whether a Retry-After header makes sense.
 func (f *Failure) RetryableByCaller() bool {
 	switch f.Reason {
-	case ReasonOverload, ReasonDownstream, ReasonDraining, ReasonNoUpstream, ReasonLinkBudget, ReasonRetryBudget,
+	case ReasonOverload, ReasonUpstreamRefused, ReasonDownstream, ReasonDraining, ReasonNoUpstream, ReasonLinkBudget, ReasonRetryBudget,
 		ReasonHeldOff, ReasonClaimsUnavailable, ReasonUnconfirmed, ReasonInProgress:
 		return true
 	}
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -376,7 +376,7 @@
 		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
 	}
 	if failure != nil && failure.Outcome != chain.OK && r.route != nil {
-		r.f.local.noteFailed(now, r.route.Name)
+		r.f.local.noteFailed(now, r.route.Name, failure)
 	}
 	r.f.metrics.answered(failure, now.Sub(r.arrived))
 	r.f.recordAnswer(r, status, failure, now)
--- a/forward/inbound.go
+++ b/forward/inbound.go
@@ -33,13 +33,26 @@
 	f.answerPeer(x, r)
 }
 
+// The values of headerDeep.
+const (
+	deepFull  = "no-room" // a service further down was too busy
+	deepOther = "failed"
+)
+
+func deepCause(f *chain.Failure) string {
+	if f.Full {
+		return deepFull
+	}
+	return deepOther
+}
+
 // answerPeer returns the result of a call.
 func (f *Forwarder) answerPeer(x *httpwire.Exchange, r *result) {
 	resp := &httpwire.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
 	if a := r.answer; a != nil {
 		resp = &httpwire.Response{Status: a.status, Header: a.header, Body: a.body, Stream: a.stream, Length: a.length}
 		if r.failure != nil && r.failure.Deep {
-			resp.Header[headerDeep] = []string{"1"}
+			resp.Header[headerDeep] = []string{deepCause(r.failure)}
 		}
 	} else {
 		resp.Header[headerRefusal] = []string{formatRefusal(r)}
--- a/forward/local.go
+++ b/forward/local.go
@@ -35,6 +35,7 @@
 	leaving    atomic.Bool // the daemon stops
 	load       runLoad
 	lastFailed atomic.Int64 // steady nanoseconds of the last failure of what may be a call of the upstream
+	lastFull   atomic.Int64 // the same, of those that found no room
 	called     admit.Called // which routes the upstream calls
 	ctx        context.Context
 }
@@ -230,6 +231,7 @@
 	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError {
 		l.called.RunFailed(l.f.cfg.Now())
 		r.failure.Deep = l.lastFailed.Load() >= begun.UnixNano()
+		r.failure.Full = l.lastFull.Load() >= begun.UnixNano()
 	}
 	l.f.metrics.ran(resultName(r.failure), took)
 	l.f.record(c, "ran", r.failure, l.f.cfg.Now(), took)
@@ -239,10 +241,14 @@
 // noteFailed records that a request at the entrance failed. Unless only clients use
 // its route it may be a call of the upstream; a failure of the upstream while one
 // failed is taken as its consequence.
-func (l *local) noteFailed(now time.Time, route string) {
+func (l *local) noteFailed(now time.Time, route string, f *chain.Failure) {
 	l.called.Failed(now, route)
-	if !l.called.ByClients(route) {
-		l.lastFailed.Store(now.UnixNano())
+	if l.called.ByClients(route) {
+		return
+	}
+	l.lastFailed.Store(now.UnixNano())
+	if f.LacksRoom() {
+		l.lastFull.Store(now.UnixNano())
 	}
 }
 
@@ -348,7 +354,7 @@
 		l.replaced(from.Header.Get(d.Instance))
 		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "another upstream runs at this address")
 	case from.Header.Get(d.NotRun) != "" && from.Status != http.StatusBadRequest:
-		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonOverload, "the upstream refused the request")
+		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonUpstreamRefused, "the upstream refused the request")
 	case from.Status >= http.StatusInternalServerError:
 		r.failure = chain.NewFailure(chain.Failed, chain.ReasonHandlerError, "the upstream failed with status "+strconv.Itoa(from.Status))
 		r.answer = a
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -88,7 +88,7 @@
 func takePeerAnswer(ctx context.Context, pool *httpwire.Pool, conn *httpwire.ClientConn, from *httpwire.Answer) *result {
 	report := parseReport(from.Header)
 	refusal := from.Header.Get(headerRefusal)
-	deep := from.Header.Get(headerDeep) != ""
+	deep := from.Header.Get(headerDeep)
 	a, failure := readAnswer(ctx, from, func() { pool.Put(conn) })
 	if failure != nil {
 		conn.Close()
@@ -104,7 +104,7 @@
 	r := &result{answer: a, arrived: true, report: report}
 	if a.status >= http.StatusInternalServerError {
 		r.failure = chain.NewFailure(chain.Failed, chain.ReasonHandlerError, "the upstream failed")
-		r.failure.Deep = deep
+		r.failure.Deep, r.failure.Full = deep != "", deep == deepFull
 	}
 	return r
 }
