--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -25,7 +25,7 @@
 // classes give way first.
 var throttledFailures = [classCount]float64{chain.Sheddable: 0.1, chain.Default: 0.2, chain.Critical: 0.35}
 
-// throttleGrowth is how many requests are let through for each one that ended well
+// throttleGrowth is how many requests are let through for each one that found room
 // while none fails further down: after an overload their number triples with each
 // window.
 const throttleGrowth = 3
@@ -42,8 +42,9 @@
 	buckets [throttleBuckets]throttleCounts
 }
 
-// throttleCounts counts the requests that ended in one part of the window.
-type throttleCounts struct{ well, deep, refused float64 }
+// throttleCounts counts the requests that ended in one part of the window: those that
+// found no room further down, those that ended in another way, and those refused early.
+type throttleCounts struct{ noRoom, other, refused float64 }
 
 // Refused returns the part of the requests with the class of p that is refused now.
 func (t *Throttle) Refused(now time.Time, p chain.Priority) float64 {
@@ -67,45 +68,43 @@
 	return false
 }
 
-// Ended counts the end of a request that was let through: well, or with the failure
-// of a call that found no room further down. Other ends say nothing; fewer requests
-// would not prevent them.
+// Ended counts the end of a request that was let through. Only failures of calls that
+// found no room further down matter; fewer requests would not prevent others.
 func (t *Throttle) Ended(now time.Time, failure *chain.Failure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := &t.buckets[t.advance(now)]
-	switch {
-	case failure == nil:
-		b.well++
-	case failure.Deep && failure.Full:
-		b.deep++
+	if failure != nil && failure.Deep && failure.Full {
+		b.noRoom++
+		return
 	}
+	b.other++
 }
 
 func (t *Throttle) refused(now time.Time, class chain.Class) float64 {
 	t.advance(now)
 	var sum throttleCounts
 	for _, b := range t.buckets {
-		sum.well += b.well
-		sum.deep += b.deep
+		sum.noRoom += b.noRoom
+		sum.other += b.other
 		sum.refused += b.refused
 	}
-	all := sum.well + sum.deep + sum.refused
+	all := sum.noRoom + sum.other + sum.refused
 	if all == 0 {
 		return 0
 	}
-	let := sum.well*throttleMargin(sum, throttledFailures[class]) + throttleSlack
+	let := sum.other*throttleMargin(sum, throttledFailures[class]) + throttleSlack
 	return min(max(1-let/all, 0), maxThrottled)
 }
 
-// throttleMargin is how many requests are let through for each one that ended well.
+// throttleMargin is how many requests are let through for each one that found room.
 // It is such that their number stays the same while the allowed part fails.
 func throttleMargin(c throttleCounts, allowed float64) float64 {
 	steady := 1 / (1 - allowed)
-	if c.well+c.deep == 0 {
+	if c.other+c.noRoom == 0 {
 		return steady
 	}
-	failures := c.deep / (c.well + c.deep)
+	failures := c.noRoom / (c.other + c.noRoom)
 	return steady + (throttleGrowth-steady)*max(1-failures/allowed, 0)
 }
 
