core/raft: a replica that is no voter forgets a silent leader

The founder was cut off 0.4 s after it had proposed to add the replica as a voter; the proposal was lost with its term. The replica had heard its heartbeats. It starts no elections, so it kept the lost leader for ever and never asked to be added again, and the new leader did not know of it. Ruled out: the proxy (other replicas behind it work), a lost disk (none there). Change: a replica that may not start elections forgets its leader after the election timeout. Before/after: TestLearnerForgetsSilentLeader failed before.

--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -249,8 +249,12 @@
 		r.tickLeader()
 		return
 	}
-	if (r.electionElapsed >= r.electionTimeout || r.soleVoter()) && r.electable() {
+	due := r.electionElapsed >= r.electionTimeout
+	switch {
+	case (due || r.soleVoter()) && r.electable():
 		r.campaign(PreCandidate)
+	case due && r.leader != nil:
+		r.becomeFollower(r.term, nil) // nobody tells a replica that is no member of the next leader
 	}
 }
 
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -117,6 +117,28 @@
 	require.Positive(t, sent)
 }
 
+// TestLearnerForgetsSilentLeader guards a replica whose addition was lost with the
+// leader that proposed it: nobody tells it of the next leader, and unless it notices
+// the silence it never asks to be added again.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	r := replica(t, 4, &api.ReplicaSet{Voters: refs(1, 2, 3), Learners: refs(4), Replacing: 3})
+	now := time.Unix(0, 0)
+	heartbeat := &api.ReplicaMessage{Kind: api.ReplicaMessage_KIND_HEARTBEAT, From: ref(1), To: ref(4), Term: 2}
+	r.Step(now, heartbeat)
+	require.EqualValues(t, 1, r.Status().Leader.GetId())
+	for range 5 {
+		r.Tick(now)
+	}
+	require.EqualValues(t, 1, r.Status().Leader.GetId(), "a late heartbeat is no silence")
+	for range 20 {
+		r.Tick(now)
+	}
+	require.Nil(t, r.Status().Leader)
+	require.Equal(t, Follower, r.Role(), "a learner starts no election")
+	r.Step(now, heartbeat)
+	require.EqualValues(t, 1, r.Status().Leader.GetId())
+}
+
 // TestDeadLearnerIsNotPromoted guards against a joint configuration with a
 // replica that has caught up once and was then lost.
 func TestDeadLearnerIsNotPromoted(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,7 +31,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{150, "the leader that added a replica was cut off before that was committed; the replica took it for its leader for ever"},
+}
 
 // TestSoak checks the promises of a fleet under faults from outside.
 func TestSoak(t *testing.T) {
