fleet: a session is judged by answers to requests and by the stated age apart

Ruled out: slow elections (none then). Change: a session works while a request of the last 1.2 s was answered by a replica whose stated age is below 1.2 s. A link with a growing queue is still noticed. Before/after: TestSessionWorks covers both; it does not compile against the former rule, by which the healthy session of it did not work. TestReplicaWithLateUpdatesIsLeft passes.

--- a/core/attend/attend.go
+++ b/core/attend/attend.go
@@ -11,10 +11,13 @@
 
 // The periods of the choice.
 const (
-	// StaleAfter is the age of the newest state known to be up to date above which
-	// a replica, or the link to it, is given up. With the time to find another
-	// replica it must stay below the two seconds within which a change has to be in
-	// force.
+	// SilentAfter is the age of the newest answered request above which a session is
+	// given up. With the time to find another replica it must stay below the two
+	// seconds within which a change has to be in force.
+	SilentAfter = 1200 * time.Millisecond
+	// StaleAfter is the confirmation age above which a replica counts as cut off
+	// from its quorum. It has the same bound as SilentAfter, and exceeds the three
+	// heartbeats, three quarters of a second, that a follower's confirmation may be old.
 	StaleAfter = 1200 * time.Millisecond
 	// returnEvery is how often a daemon that attends a distant replica tries a
 	// nearer one.
--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -18,8 +18,7 @@
 // The periods of an Agent.
 const (
 	// renewEvery is the interval of requests on a quiet session. Each is answered
-	// at once, and with the ways and the confirmation age, two or three tenths of a
-	// second, it must stay well below attend.StaleAfter.
+	// at once; with the ways it must stay well below attend.SilentAfter.
 	renewEvery = 500 * time.Millisecond
 	// watchEvery is how often sessions are looked at.
 	watchEvery = 100 * time.Millisecond
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -21,7 +21,7 @@
 	renewed  time.Time
 	member   *api.FleetMember // sent last
 	heard    time.Time        // last update, zero before the first
-	asOf     time.Time        // of which the replica is known to have been up to date, zero if never
+	answered time.Time        // when the newest request was sent that a replica in touch has answered
 	age      time.Duration    // of the confirmation in the last update
 }
 
@@ -97,8 +97,8 @@
 		return 0, false
 	}
 	s.age = time.Duration(u.ConfirmationAgeMs) * time.Millisecond
-	if asOf := at.Add(-s.age); echoed && asOf.After(s.asOf) {
-		s.asOf = asOf
+	if echoed && s.age < attend.StaleAfter && at.After(s.answered) {
+		s.answered = at
 	}
 	return now.Sub(at) + s.age, echoed
 }
@@ -111,8 +111,8 @@
 	return now.Sub(s.heard)
 }
 
-// works reports whether updates come soon after they were sent, from a replica in
-// touch with its quorum.
+// works reports whether requests are answered soon, by a replica in touch with its
+// quorum. An update may have been on the way for long, so that it comes tells little.
 func (s *session) works(now time.Time) bool {
-	return !s.asOf.IsZero() && now.Sub(s.asOf) <= attend.StaleAfter
+	return !s.answered.IsZero() && now.Sub(s.answered) <= attend.SilentAfter
 }
