logging, explain: no time left without a deadline; the deepest failed call is named

Change: the key is left out while no deadline is known; explain names the failed call that is furthest down right after the final answer. Before/after: TestTimeLeftIsToldOnlyIfKnown and TestDeepestFailureIsTheCause failed before.

--- a/explain/causes.go
+++ b/explain/causes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
@@ -44,6 +45,9 @@
 	default:
 		out = append(out, meaning(last))
 	}
+	if deepest := deepestFailure(s); deepest != nil && (last == nil || last.Field("outcome") != chain.OK.String()) {
+		out = append(out, fmt.Sprintf("it began with a call to service %s: %s", deepest.Field("service"), meaning(deepest)))
+	}
 	out = append(out, evidence(s)...)
 	return append(out, gaps(s)...)
 }
@@ -56,6 +60,20 @@
 	return fmt.Sprintf("%s (outcome %s, status %s, after %s)", text, l.Field("outcome"), l.Field("status"), l.Duration("elapsed_us", time.Microsecond))
 }
 
+// deepestFailure is the answer of the failed call that is furthest down, the first of
+// several, nil if the logs show none.
+func deepestFailure(s *Story) *Line {
+	var deepest *Line
+	for _, l := range s.Below {
+		if l.Field("outcome") != chain.OK.String() && (deepest == nil || depth(l) > depth(deepest)) {
+			deepest = l
+		}
+	}
+	return deepest
+}
+
+func depth(l *Line) int { return strings.Count(l.Field("request"), ".") }
+
 // unanswered tells how far a request got whose answer is not in the logs.
 func unanswered(s *Story) string {
 	last := s.Lines[len(s.Lines)-1]
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -69,6 +69,18 @@
 	require.Len(t, s.Below, 1)
 }
 
+// TestDeepestFailureIsTheCause guards the reader of a failure that went up a chain:
+// each service above reports a failure of its own.
+func TestDeepestFailureIsTheCause(t *testing.T) {
+	s, _ := explainText(t, "p", map[string]string{"entrance": `time=2026-01-02T10:00:00.000Z level=info event=received request=p service=rounds
+time=2026-01-02T10:00:00.200Z level=info event=answer request=p.c1.d1 service=stock outcome=ok status=200
+time=2026-01-02T10:00:00.300Z level=info event=answer request=p.c1.d2 service=stock outcome=not-run reason=overload status=503 elapsed_us=900
+time=2026-01-02T10:00:00.301Z level=info event=answer request=p.c1 service=bookings outcome=failed reason=handler-error status=500
+time=2026-01-02T10:00:00.400Z level=info event=answer request=p service=rounds outcome=failed reason=handler-error status=500 elapsed_us=400000
+`})
+	require.Contains(t, s.Causes[1], "it began with a call to service stock: refused, not run: no upstream that was asked had room")
+}
+
 // TestMissingLinesAreSaid guards against a cause that is guessed where the logs
 // are cut or lines were dropped.
 func TestMissingLinesAreSaid(t *testing.T) {
--- a/forward/call.go
+++ b/forward/call.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
+	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
 // call is a request on its way to an upstream, as the entrance or a peer hands
@@ -36,7 +37,13 @@
 	awaited              bool      // the sender of the stream waits to be asked for it
 }
 
-func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
+// remaining is the time left, logging.NoDeadline before the deadline is known.
+func (c *call) remaining(now time.Time) time.Duration {
+	if c.deadline.IsZero() {
+		return logging.NoDeadline
+	}
+	return c.deadline.Sub(now)
+}
 
 // bodyLength is the length of the body, -1 if it is not known.
 func (c *call) bodyLength() int64 {
--- a/logging/decisions.go
+++ b/logging/decisions.go
@@ -26,10 +26,13 @@
 	Usable        int           // upstreams that were candidates in that tier
 	Refused       float64       // part of the requests of the route that is refused early
 	Load          Load          // of the gate that decided, or that was chosen
-	Remaining     time.Duration // before the deadline
+	Remaining     time.Duration // before the deadline; NoDeadline if none is known yet
 	Elapsed       time.Duration // since the request arrived at this process
 }
 
+// NoDeadline stands for the time left of a request without a deadline.
+const NoDeadline time.Duration = math.MinInt64
+
 // Load is what a decision knew of the load of a gate.
 type Load struct {
 	Known    bool
@@ -218,7 +221,10 @@
 	if v.Status != 0 {
 		e = e.Int("status", v.Status)
 	}
-	e.Int64("remaining_ms", v.Remaining.Milliseconds()).Int64("elapsed_us", v.Elapsed.Microseconds()).Msg("")
+	if v.Remaining != NoDeadline {
+		e = e.Int64("remaining_ms", v.Remaining.Milliseconds())
+	}
+	e.Int64("elapsed_us", v.Elapsed.Microseconds()).Msg("")
 }
 
 // String writes running/limit+waiting@level, as in 7/11+3@128.
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -104,3 +104,17 @@
 	flush()
 	require.Positive(t, strings.Count(w.buf.String(), "event=line"))
 }
+
+// TestTimeLeftIsToldOnlyIfKnown guards readers of a request that was refused before
+// its deadline was known.
+func TestTimeLeftIsToldOnlyIfKnown(t *testing.T) {
+	var buf bytes.Buffer
+	d := NewDecisions(New(&buf), 10)
+	d.Record(Decision{Event: "answer", RequestID: "without", Remaining: NoDeadline})
+	d.Record(Decision{Event: "answer", RequestID: "with", Remaining: 7 * time.Millisecond})
+	d.Close()
+	lines := strings.Split(strings.TrimSpace(buf.String()), "\n")
+	require.Len(t, lines, 2)
+	require.NotContains(t, lines[0], "remaining_ms")
+	require.Contains(t, lines[1], "remaining_ms=7 ")
+}
