--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -15,7 +15,7 @@
 	throttleWindow = 2 * time.Second
 	// throttleSlack is the number of requests in a window that are let through
 	// whatever became of the others, so that a recovery is noticed.
-	throttleSlack = 3
+	throttleSlack = 4
 	// maxThrottled is the largest part that is refused. No route is starved.
 	maxThrottled = 0.85
 )
@@ -23,7 +23,7 @@
 // throttledFailures is, by class, the part of the requests let through that may fail
 // further down. Above it fewer are let through than before, below it more. Lower
 // classes give way first.
-var throttledFailures = [classCount]float64{chain.Sheddable: 0.1, chain.Default: 0.2, chain.Critical: 0.35}
+var throttledFailures = [classCount]float64{chain.Sheddable: 0.15, chain.Default: 0.2, chain.Critical: 0.35}
 
 // throttleGrowth is how many requests are let through for each one that found room
 // while none fails further down: after an overload their number triples with each
