forward: a refusal keeps its reason if there is no other upstream to try

Cause: a new test of the metrics showed a request refused by a leaving upstream as "overload": the next choice found nobody else, and its failure replaced the first one. The caller's Retry-After was lost, the logs named the wrong cause, and early refusal would have taken it for a lack of room. Change: the failure of the last attempt stands.

--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -165,13 +165,17 @@
 // run tries upstreams until one answers or none may be tried any more.
 func (r *request) run(ctx context.Context) *result {
 	r.service.budget.Request(r.f.cfg.Now())
+	var res *result
 	for {
 		choice, failure := r.pick()
-		if failure != nil {
+		switch {
+		case failure != nil && res != nil:
+			return r.settle(res) // the attempt before tells more than that there is no other upstream
+		case failure != nil:
 			return r.settle(&result{failure: failure})
 		}
 		begun := r.f.cfg.Now()
-		res := r.attempt(ctx, choice)
+		res = r.attempt(ctx, choice)
 		r.done(choice, res, r.f.cfg.Now().Sub(begun))
 		if !r.again(ctx, res) {
 			return r.settle(res)
@@ -300,7 +304,9 @@
 // earlier attempt got if the last one has none.
 func (r *request) settle(last *result) *result {
 	if last.answer != nil || r.held == nil {
-		r.held.release()
+		if r.held != last {
+			r.held.release()
+		}
 		if last.failure != nil && r.mayRun && last.failure.Outcome == chain.NotRun {
 			// An earlier attempt may have run, so the refusal of the last one does
 			// not hold for the request.
