soak: planned stops in calm time, with uploads under way

The check applies when no other fault has gone on for 3 s, which the schedule never leaves, and all work took 20 ms. Change: after the faults two daemons are stopped as planned, one after the other; uploads take 0.6 s more.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,6 +59,10 @@
 // settleTime is how long a fleet may take to serve again after the last fault.
 const settleTime = 15 * time.Second
 
+// calmStops is the number of planned stops with nothing else going on, when no
+// request may break off.
+const calmStops = 2
+
 func soak(t *testing.T, seed uint64) {
 	w := newWorld(t, seed, controls, *daemonsFlag)
 	ctx, stop := context.WithCancel(context.Background())
@@ -78,6 +82,9 @@
 	calm()
 	stopOperating()
 	time.Sleep(settleTime)
+	for range calmStops {
+		w.restart(w.daemon())
+	}
 	settled := time.Now()
 	time.Sleep(3 * time.Second)
 	w.checkEnd(settled)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -112,6 +112,9 @@
 	return strings.Repeat(hex.EncodeToString(sum[:]), 1+int(sum[0])%8)
 }
 
+// uploadWork is how much longer uploads take, so that planned stops find some under way.
+const uploadWork = 600 * time.Millisecond
+
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	d := platform.Dialect()
 	u.mu.Lock()
@@ -135,6 +138,9 @@
 		u.vm.w.judge.violate("request %s reached %s without the service of its caller", request, id)
 	}
 	u.vm.w.judge.ran(request, kindOf(r.URL.Path), u.vm.settings.Service, id)
+	if kindOf(r.URL.Path) == upload {
+		work += uploadWork
+	}
 	time.Sleep(work)
 	if !u.call(r, request) || float64(len(request)*7919%100)/100 < failing {
 		w.WriteHeader(http.StatusInternalServerError)
