soak, fleet: faults draw from sources of their own; a test waits for the entry it watches

TestRegressions: a data race, since callers, the operator and strikes drew from one source without its lock; the schedule of a seed also depended on who drew first. The trace shows the daemon attend the replica (30.500), the test read the entry's former home before the new one was stored, and stop the replica (30.503); the daemon came back to the replica that it had left, whose number the test took for the former home, so no change could come. Ruled out: elections that do not end (none in the trace), a session that stays away. Change: each strike, each caller, the operator and the schedule have a source that follows from the seed. The test waits until the entry names the replica that it stops, and then, as before, that it names another one. Conclusion: both were faults of the tests.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -301,7 +301,8 @@
 	watcher := g.daemon("10.0.0.2:1", "zone-2")
 	g.await(watcher, func(s State) bool { return len(s.Members) == 2 })
 	require.Eventually(t, func() bool { return d.Attended() == g.seeds[1] }, patience, 5*time.Millisecond)
-	former := watcher.last().Members["10.0.0.1:1"].Home
+	former := g.replicas[g.seeds[1]].server.Self().Id
+	g.await(watcher, func(s State) bool { return s.Members["10.0.0.1:1"].GetHome() == former })
 	g.replicas[g.seeds[1]].stop()
 	g.await(watcher, func(s State) bool { return s.Members["10.0.0.1:1"].GetHome() != former })
 	require.Len(t, watcher.last().Members, 2)
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -71,7 +71,7 @@
 
 func (w *world) newCaller(n int) *caller {
 	return &caller{
-		w: w, n: n, random: rand.New(rand.NewPCG(w.random.Uint64(), uint64(n))),
+		w: w, n: n, random: w.striker(sourceCallers + uint64(n)).random,
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}, Timeout: 5 * time.Second},
 	}
 }
@@ -229,15 +229,16 @@
 
 // operateFrom puts one configuration after the other, two operators at times.
 func (w *world) operateFrom(ctx context.Context, first uint64) {
+	draw := w.striker(sourceOperator)
 	for number := first; ctx.Err() == nil; number++ {
 		var both sync.WaitGroup
-		for range 1 + w.pick(2) {
+		for range 1 + draw.pick(2) {
 			both.Go(func() { w.put(ctx, number) })
 		}
 		both.Wait()
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(200+w.pick(1200)) * time.Millisecond):
+		case <-time.After(time.Duration(200+draw.pick(1200)) * time.Millisecond):
 		}
 	}
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -13,7 +14,14 @@
 type fault struct {
 	name   string
 	kind   faultKind
-	strike func(w *world, d time.Duration)
+	strike func(w *striker, d time.Duration)
+}
+
+// striker is one strike of a fault. It draws from a source of its own, so that the
+// schedule does not depend on what other parts draw meanwhile.
+type striker struct {
+	*world
+	random *rand.Rand
 }
 
 type faultKind int
@@ -26,11 +34,11 @@
 
 // faults are drawn by the schedule; those that are listed twice come twice as often.
 var faults = []fault{
-	{"daemon stopped as planned", planned, func(w *world, _ time.Duration) { w.restart(w.daemon()) }},
-	{"daemon stopped as planned", planned, func(w *world, _ time.Duration) { w.restart(w.daemon()) }},
-	{"daemon killed", onDaemons, func(w *world, d time.Duration) { w.crash(w.daemon(), d) }},
-	{"daemon frozen", onDaemons, func(w *world, d time.Duration) { w.freeze(w.daemon(), d) }},
-	{"several daemons killed", onDaemons, func(w *world, d time.Duration) {
+	{"daemon stopped as planned", planned, func(w *striker, _ time.Duration) { w.restart(w.daemon()) }},
+	{"daemon stopped as planned", planned, func(w *striker, _ time.Duration) { w.restart(w.daemon()) }},
+	{"daemon killed", onDaemons, func(w *striker, d time.Duration) { w.crash(w.daemon(), d) }},
+	{"daemon frozen", onDaemons, func(w *striker, d time.Duration) { w.freeze(w.daemon(), d) }},
+	{"several daemons killed", onDaemons, func(w *striker, d time.Duration) {
 		var all sync.WaitGroup
 		for range 2 + w.pick(2) {
 			v := w.daemon()
@@ -38,28 +46,28 @@
 		}
 		all.Wait()
 	}},
-	{"settings changed", planned, func(w *world, _ time.Duration) { w.reload(w.daemon()) }},
-	{"upstream crashed", onDaemons, func(w *world, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).close) }},
-	{"upstream left", onDaemons, func(w *world, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).drain) }},
-	{"upstream slow", onDaemons, func(w *world, d time.Duration) {
+	{"settings changed", planned, func(w *striker, _ time.Duration) { w.reload(w.daemon()) }},
+	{"upstream crashed", onDaemons, func(w *striker, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).close) }},
+	{"upstream left", onDaemons, func(w *striker, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).drain) }},
+	{"upstream slow", onDaemons, func(w *striker, d time.Duration) {
 		u := w.daemon().upstream
 		w.with(u, func() { u.work = 400 * time.Millisecond }, d, func() { u.work = 20 * time.Millisecond })
 	}},
-	{"upstream failing", onDaemons, func(w *world, d time.Duration) {
+	{"upstream failing", onDaemons, func(w *striker, d time.Duration) {
 		u := w.daemon().upstream
 		w.with(u, func() { u.failing = 0.5 }, d, func() { u.failing = 0 })
 	}},
-	{"links delayed", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkDelay) }},
-	{"links reset", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkReset) }},
-	{"links silent one way", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.daemon(), d, linkOneWay) }},
-	{"links silent", onDaemons, func(w *world, d time.Duration) { w.disturbLinks(w.daemon(), d, linkCut) }},
-	{"control cut off", onControl, func(w *world, d time.Duration) { w.disturbLinks(w.control(), d, linkCut) }},
-	{"control cut off one way", onControl, func(w *world, d time.Duration) { w.disturbLinks(w.control(), d, linkOneWay) }},
-	{"control stopped as planned", onControl, func(w *world, _ time.Duration) { w.restart(w.control()) }},
-	{"control killed", onControl, func(w *world, d time.Duration) { w.crash(w.control(), d) }},
-	{"control frozen", onControl, func(w *world, d time.Duration) { w.freeze(w.control(), d) }},
-	{"control lost its disk", onControl, func(w *world, d time.Duration) { w.loseDisk(w.control(), d) }},
-	{"all control killed", onControl, func(w *world, d time.Duration) {
+	{"links delayed", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkDelay) }},
+	{"links reset", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkReset) }},
+	{"links silent one way", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.daemon(), d, linkOneWay) }},
+	{"links silent", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.daemon(), d, linkCut) }},
+	{"control cut off", onControl, func(w *striker, d time.Duration) { w.disturbLinks(w.control(), d, linkCut) }},
+	{"control cut off one way", onControl, func(w *striker, d time.Duration) { w.disturbLinks(w.control(), d, linkOneWay) }},
+	{"control stopped as planned", onControl, func(w *striker, _ time.Duration) { w.restart(w.control()) }},
+	{"control killed", onControl, func(w *striker, d time.Duration) { w.crash(w.control(), d) }},
+	{"control frozen", onControl, func(w *striker, d time.Duration) { w.freeze(w.control(), d) }},
+	{"control lost its disk", onControl, func(w *striker, d time.Duration) { w.loseDisk(w.control(), d) }},
+	{"all control killed", onControl, func(w *striker, d time.Duration) {
 		var all sync.WaitGroup
 		for _, v := range w.controls {
 			all.Go(func() { w.crash(v, d/4) })
@@ -110,34 +118,43 @@
 	}
 }
 
-// pick draws a number for the schedule.
-func (w *world) pick(n int) int {
-	w.drawing.Lock()
-	defer w.drawing.Unlock()
-	return w.random.IntN(n)
+func (w *striker) pick(n int) int { return w.random.IntN(n) }
+func (w *striker) daemon() *vm    { return w.daemons[w.pick(len(w.daemons))] }
+func (w *striker) control() *vm   { return w.controls[w.pick(len(w.controls))] }
+func (w *striker) anyVM() *vm     { return w.all()[w.pick(len(w.controls)+len(w.daemons))] }
+
+// striker returns the source n of random numbers of this run.
+func (w *world) striker(n uint64) *striker {
+	return &striker{w, rand.New(rand.NewPCG(w.seed, n))}
 }
 
-func (w *world) daemon() *vm  { return w.daemons[w.pick(len(w.daemons))] }
-func (w *world) control() *vm { return w.controls[w.pick(len(w.controls))] }
-func (w *world) anyVM() *vm   { return w.all()[w.pick(len(w.controls)+len(w.daemons))] }
+// The sources of random numbers of a run. Strikes and callers are numbered from theirs.
+const (
+	sourceSchedule = 1
+	sourceOperator = 2
+	sourceStops    = 3
+	sourceCallers  = 1000
+	sourceStrikes  = 1_000_000
+)
 
 // disturb lets faults strike in series and overlapping until ctx ends, and returns
 // when all have ended.
 func (w *world) disturb(ctx context.Context) {
 	var all sync.WaitGroup
 	defer all.Wait()
-	for ctx.Err() == nil {
-		f := faults[w.pick(len(faults))]
-		d := time.Duration(300+w.pick(3000)) * time.Millisecond
-		all.Go(func() { w.strike(ctx, f, d) })
+	schedule := w.striker(sourceSchedule)
+	for n := uint64(sourceStrikes); ctx.Err() == nil; n++ {
+		f := faults[schedule.pick(len(faults))]
+		d := time.Duration(300+schedule.pick(3000)) * time.Millisecond
+		all.Go(func() { w.strike(ctx, f, d, w.striker(n)) })
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(100+w.pick(1500)) * time.Millisecond):
+		case <-time.After(time.Duration(100+schedule.pick(1500)) * time.Millisecond):
 		}
 	}
 }
 
-func (w *world) strike(ctx context.Context, f fault, d time.Duration) {
+func (w *world) strike(ctx context.Context, f fault, d time.Duration, s *striker) {
 	if f.kind == onControl {
 		w.activity.control.Lock()
 		defer w.activity.control.Unlock()
@@ -148,7 +165,7 @@
 	w.activity.begin(f.kind == planned)
 	defer w.activity.end(f.kind == planned)
 	w.t.Logf("%s %s for %s", time.Now().Format("15:04:05.000"), f.name, d)
-	f.strike(w, d)
+	f.strike(s, d)
 	if f.kind == onControl {
 		time.Sleep(2 * time.Second) // the group is whole again before the next loss
 	}
@@ -206,7 +223,7 @@
 }
 
 // reload changes the seeds of a running process, with a signal or without.
-func (w *world) reload(v *vm) {
+func (w *striker) reload(v *vm) {
 	v.busy(func() {
 		v.settings.Seeds = append(v.settings.Seeds[1:], v.settings.Seeds[0])
 		v.writeSettings()
@@ -245,7 +262,7 @@
 )
 
 // disturbLinks disturbs all links of one VM.
-func (w *world) disturbLinks(v *vm, d time.Duration, f linkFault) {
+func (w *striker) disturbLinks(v *vm, d time.Duration, f linkFault) {
 	each := func(do func(sender bool, proxy proxy)) {
 		for ends, proxies := range w.links {
 			for _, p := range proxies {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,8 @@
 	seed  uint64
 	cause string
 }{
+	// The schedule of this seed was drawn in another way when it failed; core/raft
+	// TestLearnerForgetsSilentLeader plays the case itself.
 	{150, "the leader that added a replica was cut off before that was committed; the replica took it for its leader for ever"},
 }
 
@@ -82,8 +84,9 @@
 	calm()
 	stopOperating()
 	time.Sleep(settleTime)
+	stops := w.striker(sourceStops)
 	for range calmStops {
-		w.restart(w.daemon())
+		w.restart(stops.daemon())
 	}
 	settled := time.Now()
 	time.Sleep(3 * time.Second)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -54,8 +53,7 @@
 	client   platform.Client
 	activity activity
 
-	drawing sync.Mutex
-	random  *rand.Rand // of the schedule
+	seed uint64
 
 	controls []*vm
 	daemons  []*vm
@@ -106,7 +104,7 @@
 
 func newWorld(t *testing.T, seed uint64, controls, daemons int) *world {
 	w := &world{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), net: 64 + int(seed%150), dir: t.TempDir(), judge: newJudge(),
+		t: t, seed: seed, net: 64 + int(seed%150), dir: t.TempDir(), judge: newJudge(),
 		client: platform.Client{HTTP: &http.Client{Timeout: 2 * time.Second}}, links: map[[2]*vm][]*faultproxy.Proxy{},
 	}
 	for i := range controls {
