--- a/fleet/session_test.go
+++ b/fleet/session_test.go
@@ -27,3 +27,15 @@
 	require.False(t, answer(50*time.Millisecond, attend.StaleAfter).works(sent.Add(60*time.Millisecond)), "the replica is cut off from its quorum")
 	require.False(t, (&session{}).works(sent), "nothing came")
 }
+
+// TestStateNeverGoesBack guards a daemon against an update of a replica that is behind
+// the one that it attended before.
+func TestStateNeverGoesBack(t *testing.T) {
+	changes := 0
+	a := NewAgent(AgentConfig{Changed: func(State) { changes++ }})
+	a.apply(&api.AttendUpdate{Index: 5, Full: true, Routing: &api.RoutingDocument{Number: 5}}, 0, true)
+	a.apply(&api.AttendUpdate{Index: 4, Full: true, Routing: &api.RoutingDocument{Number: 4}}, 0, true)
+	require.EqualValues(t, 5, a.state.Index)
+	require.EqualValues(t, 5, a.state.Routing.Number)
+	require.Equal(t, 1, changes)
+}
