forward: what became of a request is decided before its answer is written

Whether the client had left was asked after the answer was written; a client that has its refusal may close the connection at once, and then log and metrics said "cancelled" in place of the reason. The open finding that a failed call is noted only after its answer has been written has the same cause. Ruled out: the counters themselves and the order in which the text is collected: with 20 ms between answer and record the test fails every time, with the reason "cancelled". Change: request.respond asks for the client, notes the failure, writes the answer and records it, in this order. A write that fails still counts as a client that left. Before/after: TestClientMayLeaveWithItsAnswer fails without the change (2 of 2) and passes with it (10 of 10, raced). Conclusion: a fault of the product's records, not of the test.

--- a/forward/answers_test.go
+++ b/forward/answers_test.go
@@ -69,6 +69,22 @@
 	}, patience, time.Millisecond, "%s", metricsOf(t, f.daemons[0]))
 }
 
+// TestClientMayLeaveWithItsAnswer guards the log and the metrics against a client that
+// has its refusal and leaves at once: it was answered, it did not give up.
+func TestClientMayLeaveWithItsAnswer(t *testing.T) {
+	f := newFleet(t, ordersTable(), newUpstream(t, "i-1", nil))
+	d := f.daemons[0]
+	d.UpstreamLeft("i-1")
+	d.cfg.Now = func() time.Time {
+		time.Sleep(20 * time.Millisecond) // the client has left by the time that the answer is recorded
+		return time.Now()
+	}
+	resp, _ := f.send(0, sent{kind: routing.Idempotent})
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Eventually(t, func() bool { return strings.Contains(metricsOf(t, d), "bilberry_request_seconds_count 1") }, patience, time.Millisecond)
+	require.Contains(t, metricsOf(t, d), `bilberry_answers_total{outcome="not-run",reason="draining"} 1`)
+}
+
 func metricsOf(t *testing.T, d *Forwarder) string {
 	var text strings.Builder
 	require.NoError(t, d.WriteMetrics(&text))
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -327,20 +327,17 @@
 	}
 	defer res.answer.close()
 	a := res.answer
-	err := r.x.Respond(&httpwire.Response{Status: a.status, Header: a.header, Body: a.body, Stream: a.stream, Length: a.length})
-	r.answered(res.failure, a.status, err)
+	r.respond(res.failure, &httpwire.Response{Status: a.status, Header: a.header, Body: a.body, Stream: a.stream, Length: a.length})
 }
 
 // refuse answers with a failure of the daemons themselves.
 func (r *request) refuse(res *result) {
-	status := statusOf(res.failure)
 	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
 	if after, ok := r.comeBack(res); ok {
 		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
 	}
 	body := []byte(res.failure.Outcome.String() + " (" + string(res.failure.Reason) + "): " + res.failure.Message + "\n")
-	err := r.x.Respond(&httpwire.Response{Status: status, Header: h, Body: body})
-	r.answered(res.failure, status, err)
+	r.respond(res.failure, &httpwire.Response{Status: statusOf(res.failure), Header: h, Body: body})
 }
 
 // statusOf is the status of a failure. Only a request that has not run and will
@@ -372,18 +369,31 @@
 	return defaultComeBack, true
 }
 
-// answered records the end of a request.
-func (r *request) answered(failure *chain.Failure, status int, err error) {
-	now := r.f.cfg.Now()
-	if r.x.ClientGone() && failure != nil && failure.Reason != chain.ReasonCancelled {
-		failure = chain.Wrap(failure.Outcome, chain.ReasonCancelled, "the client has left", failure)
-	}
-	if err != nil && failure == nil {
-		failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
+// respond writes the answer and records the end of the request. Whether the client
+// has left is asked before, since one that has its answer may leave at once. A failure
+// is noted before, since a run whose call failed may fail as soon as it has the answer.
+func (r *request) respond(failure *chain.Failure, resp *httpwire.Response) {
+	if failure != nil && r.x.ClientGone() {
+		failure = leftEarly(failure)
 	}
 	if failure != nil && failure.Outcome != chain.OK && r.route != nil {
-		r.f.local.noteFailed(now, r.route.Name, failure)
+		r.f.local.noteFailed(r.f.cfg.Now(), r.route.Name, failure)
+	}
+	if err := r.x.Respond(resp); err != nil {
+		if failure == nil {
+			failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
+		}
+		failure = leftEarly(failure)
 	}
+	now := r.f.cfg.Now()
 	r.f.metrics.answered(failure, now.Sub(r.arrived))
-	r.f.recordAnswer(r, status, failure, now)
+	r.f.recordAnswer(r, resp.Status, failure, now)
+}
+
+// leftEarly is the failure of a request whose client does not get its answer.
+func leftEarly(f *chain.Failure) *chain.Failure {
+	if f.Reason == chain.ReasonCancelled {
+		return f
+	}
+	return chain.Wrap(f.Outcome, chain.ReasonCancelled, "the client has left", f)
 }
