retry: only repeats that arrive are charged to the budget

Change: Window.Take reserves a repeat, Settle counts it or gives it back. Before/after: TestRepeatThatDidNotArriveIsFree fails without the change; the bound over the fleet is tested with repeats that take a while and do not always arrive.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -21,6 +21,7 @@
 	at       int64         // number of the newest bucket
 	requests [windowBuckets]float64
 	repeats  [windowBuckets]float64
+	reserved float64 // repeats on their way
 }
 
 // NewWindow returns a window of the given length. Ratio is the repeats that are
@@ -52,24 +53,35 @@
 	w.repeats[w.advance(now)] += repeats
 }
 
-// Take counts one repeat if the window allows it.
+// Take reserves one repeat if the window allows it. Settle ends the reservation.
 func (w *Window) Take(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i := w.advance(now)
-	if sum(&w.repeats)+1 > w.ratio*sum(&w.requests)+w.slack {
+	w.advance(now)
+	if sum(&w.repeats)+w.reserved+1 > w.ratio*sum(&w.requests)+w.slack {
 		return false
 	}
-	w.repeats[i]++
+	w.reserved++
 	return true
 }
 
-// Used returns the requests and repeats in the window.
+// Settle counts a reserved repeat, or gives it back if it did not arrive: only what
+// upstreams have to deal with is limited.
+func (w *Window) Settle(now time.Time, arrived bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reserved--
+	if arrived {
+		w.repeats[w.advance(now)]++
+	}
+}
+
+// Used returns the requests and repeats in the window, those on their way included.
 func (w *Window) Used(now time.Time) (requests, repeats float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	return sum(&w.requests), sum(&w.repeats)
+	return sum(&w.requests), sum(&w.repeats) + w.reserved
 }
 
 // advance empties the buckets that are over and returns the present one.
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -25,7 +25,12 @@
 			at     time.Time
 			repeat bool
 		}
+		type repeat struct {
+			w       *Window
+			arrives bool
+		}
 		var events []event
+		var underway []repeat
 		now := time.Unix(1000, 0)
 		for range 4000 {
 			now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
@@ -36,8 +41,16 @@
 			}
 			for range random.IntN(4) {
 				if w.Take(now) {
+					underway = append(underway, repeat{w, random.IntN(4) > 0})
+				}
+			}
+			for len(underway) > 0 && random.IntN(4) > 0 { // some take long, so many are on their way at once
+				r := underway[0]
+				underway = underway[1:]
+				if r.arrives {
 					events = append(events, event{now, true})
 				}
+				r.w.Settle(now, r.arrives)
 			}
 		}
 		for i, last := range events {
@@ -65,8 +78,10 @@
 	for range 10 {
 		w.Request(now)
 	}
-	require.True(t, w.Take(now))
-	require.True(t, w.Take(now))
+	for range 2 {
+		require.True(t, w.Take(now))
+		w.Settle(now, true)
+	}
 	require.False(t, w.Take(now))
 	w.Charge(now, 3)
 	now = now.Add(20 * time.Second)
@@ -74,3 +89,17 @@
 	w.SetSlack(1)
 	require.True(t, w.Take(now))
 }
+
+// TestRepeatThatDidNotArriveIsFree guards requests against a budget that is spent on
+// repeats which no upstream ever got.
+func TestRepeatThatDidNotArriveIsFree(t *testing.T) {
+	w := NewWindow(10*time.Second, 0)
+	w.SetSlack(1)
+	now := time.Unix(1000, 0)
+	require.True(t, w.Take(now))
+	require.False(t, w.Take(now), "it is on its way")
+	w.Settle(now, false)
+	require.True(t, w.Take(now))
+	w.Settle(now, true)
+	require.False(t, w.Take(now))
+}
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -30,6 +30,7 @@
 
 	tries  int      // upstreams asked
 	sends  int      // of these, upstreams that the request arrived at
+	repeat bool     // a repeat is reserved in the retry budget
 	tried  []string // upstream ids
 	mayRun bool     // an earlier attempt may have run
 	held   *result  // answer of a failed attempt, passed on if no other succeeds
@@ -165,6 +166,7 @@
 // run tries upstreams until one answers or none may be tried any more.
 func (r *request) run(ctx context.Context) *result {
 	r.service.budget.Request(r.f.cfg.Now())
+	defer r.settleRepeat(false)
 	var res *result
 	for {
 		choice, failure := r.pick()
@@ -214,6 +216,7 @@
 		out.Outcome, out.Reason, out.Deep = res.failure.Outcome, res.failure.Reason, res.failure.Deep
 	}
 	r.service.balancer.Done(r.f.cfg.Now(), choice, out)
+	r.settleRepeat(res.arrived)
 	if res.arrived {
 		r.sends++
 		if r.sends == 1 && r.call.repeat > 0 {
@@ -225,6 +228,14 @@
 	}
 }
 
+// settleRepeat tells the retry budget whether a reserved repeat has arrived.
+func (r *request) settleRepeat(arrived bool) {
+	if r.repeat {
+		r.repeat = false
+		r.service.budget.Settle(r.f.cfg.Now(), arrived)
+	}
+}
+
 // latePart is the part of the time of a request after which a failure of its
 // upstream counts as an answer that came too late.
 const latePart = 0.8
@@ -262,6 +273,7 @@
 	}
 	if r.sends > 0 {
 		r.f.metrics.repeats.Inc()
+		r.repeat = true
 		r.call.repeat = 1
 	}
 	if res.answer != nil {
