forward: the upstream of a stopping daemon is used until callers have noticed the stop

Ruled out: staying until the grace ends, which delays the return. Change: in the first stage of a stop the gate takes calls that must end before the daemon does (others are refused as "stopping", a new reason, which does not mark the upstream as leaving); then new work is refused as before.

--- a/core/chain/outcome.go
+++ b/core/chain/outcome.go
@@ -49,6 +49,7 @@
 	ReasonDeadline          Reason = "deadline"                  // the deadline passed or cannot be met
 	ReasonCancelled         Reason = "cancelled"                 // the caller left
 	ReasonDraining          Reason = "draining"                  // the upstream is leaving
+	ReasonStopping          Reason = "stopping"                  // the daemon stops before the call would have to end
 	ReasonNoUpstream        Reason = "no-upstream"               // no usable upstream is known
 	ReasonLinkBudget        Reason = "link-budget"               // the byte budget of the region link is spent
 	ReasonRetryBudget       Reason = "retry-budget"              // the retry allowance or token budget is spent
@@ -150,7 +151,7 @@
 // RetryableByCaller reports whether a Retry-After header makes sense.
 func (f *Failure) RetryableByCaller() bool {
 	switch f.Reason {
-	case ReasonOverload, ReasonUpstreamRefused, ReasonDownstream, ReasonDraining, ReasonNoUpstream, ReasonLinkBudget, ReasonRetryBudget,
+	case ReasonOverload, ReasonUpstreamRefused, ReasonDownstream, ReasonDraining, ReasonStopping, ReasonNoUpstream, ReasonLinkBudget, ReasonRetryBudget,
 		ReasonHeldOff, ReasonClaimsUnavailable, ReasonUnconfirmed, ReasonInProgress:
 		return true
 	}
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -13,6 +13,7 @@
 	chain.ReasonOverload:        "refused, not run: no upstream that was asked had room for its priority",
 	chain.ReasonUpstreamRefused: "refused, not run: the upstreams that were asked refused it themselves",
 	chain.ReasonDownstream:      "refused, not run: calls that such requests lead to are turned away by a service below",
+	chain.ReasonStopping:        "refused, not run: the daemons of the upstreams that were asked stop before the request had to end",
 	chain.ReasonDraining:        "refused, not run: the upstreams that were asked are leaving or their daemons stop",
 	chain.ReasonNoUpstream:      "refused, not run: no usable upstream of the service was known, or another run answered at its address",
 	chain.ReasonConnect:         "no connection to the upstream or to the daemon beside it",
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -189,9 +189,9 @@
 	now := r.f.cfg.Now()
 	choice, failure := r.service.balancer.Pick(now, balance.Request{
 		Priority: r.call.priority, Exclude: r.tried, Bytes: max(r.call.bodyLength(), 0), Retry: r.tries > 0, Route: r.call.route,
+		Remaining: r.limit.Sub(now),
 	})
 	if failure == nil {
-		Remaining: r.limit.Sub(now),
 		r.call.upstream = choice.Upstream.ID
 		r.f.recordChoice(&r.call, choice, now, now.Sub(r.arrived))
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -110,23 +110,26 @@
 	defaultGrace = 30 * time.Second
 )
 
-// stop ends the daemon without cutting a request: callers learn that it is not
-// ready, new work for the local upstream goes elsewhere, and what is in flight
-// ends.
+// stop ends the daemon without cutting a request. While callers learn that it is not
+// ready, the local upstream is used as before, but for calls that may outlast the
+// grace: it goes on running, and its room may be needed. Then new work goes elsewhere
+// and what is in flight ends.
 func (f *Forwarder) stop() {
 	begun := time.Now()
-	f.draining.Store(true)
-	f.entrance.Drain()
-	f.inbound.Drain()
-	f.local.drain()
 	grace := f.cfg.Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
+	f.draining.Store(true)
+	f.entrance.Drain()
+	f.local.endAt(f.cfg.Now().Add(grace - finalMargin))
 	f.cfg.Logger.Info().Int("in_flight", f.entrance.InFlight()+f.inbound.InFlight()).Dur("grace", grace).Msg("planned stop begins")
+	time.Sleep(time.Until(begun.Add(min(unreadyTime, grace/2))))
+	f.inbound.Drain()
+	f.local.drain()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-finalMargin))
 	defer cancel()
-	f.awaitQuiet(ctx, begun.Add(min(unreadyTime, grace/2)))
+	f.awaitQuiet(ctx)
 	_ = f.entranceSocket.Close() // no error is of use at the end
 	_ = f.inboundSock.Close()    // as above
 	var both sync.WaitGroup
@@ -136,18 +139,15 @@
 	f.cfg.Logger.Info().Dur("took", time.Since(begun)).Msg("planned stop ends")
 }
 
-// awaitQuiet waits until callers have noticed the stop and nothing is in flight.
-func (f *Forwarder) awaitQuiet(ctx context.Context, notBefore time.Time) {
+// awaitQuiet waits until nothing is in flight.
+func (f *Forwarder) awaitQuiet(ctx context.Context) {
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
-	for {
+	for f.entrance.InFlight()+f.inbound.InFlight() > 0 {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			if now.After(notBefore) && f.entrance.InFlight()+f.inbound.InFlight() == 0 {
-				return
-			}
+		case <-ticker.C:
 		}
 	}
 }
--- a/forward/local.go
+++ b/forward/local.go
@@ -32,7 +32,8 @@
 	told     LocalUpstream // to changed
 
 	gate       atomic.Pointer[gate.Gate]
-	leaving    atomic.Bool // the daemon stops
+	leaving    atomic.Bool               // the daemon stops, and takes no new work
+	endBy      atomic.Pointer[time.Time] // by when all work ends, nil while no stop has begun
 	load       runLoad
 	lastFailed atomic.Int64 // steady nanoseconds of the last failure of what may be a call of the upstream
 	lastFull   atomic.Int64 // the same, of those that found no room
@@ -139,11 +140,11 @@
 	// queuePerSlot is the number of requests that may wait for each slot. The
 	// gate drops those that could not end in time, so this only bounds memory.
 	queuePerSlot = 8
-	// uploadShare is the part of the slots that uploads may take. A body is held
 	// freeSlots is the part of the slots that is left free. Upstreams may slow down
 	// when they are nearly full: a deep service whose load fills its slots then serves
 	// less with the last of them than without. Where they do not, it costs a twentieth.
 	freeSlots = 0.05
+	// uploadShare is the part of the slots that uploads may take. A body is held
 	// in memory before it is sent, so an upload is as short as other requests.
 	uploadShare = 1
 	// latestStart is the part of the usual time of a route that a request must have
@@ -169,6 +170,8 @@
 	switch {
 	case l.leaving.Load():
 		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the daemon beside the upstream stops")
+	case l.outlasts(c):
+		return chain.NewFailure(chain.NotRun, chain.ReasonStopping, "the daemon beside the upstream stops before the call has to end")
 	case c.service != l.f.cfg.Service:
 		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "another service runs here")
 	case now.State == presence.Draining, now.State == presence.Absent && now.ID == c.upstream && c.upstream != "":
@@ -181,6 +184,15 @@
 	return nil
 }
 
+// endAt announces when the daemon will have stopped.
+func (l *local) endAt(end time.Time) { l.endBy.Store(&end) }
+
+// outlasts reports whether a call may take longer than a daemon that stops is there.
+func (l *local) outlasts(c *call) bool {
+	end := l.endBy.Load()
+	return end != nil && c.deadline.After(*end)
+}
+
 // run takes a call through the gate to the upstream. Ctx ends when the sender
 // of the call has left or its time is over.
 func (l *local) run(ctx context.Context, c *call) *result {
