forward: a new run of an upstream serves what was meant for the former one

Daemons had the configuration again and the former ids of the upstreams; the new runs had reported to the daemons beside them at 33.9 s, but their entries were not in the table yet. The gate named the former id to the upstream, which answered 421, and all tries ended so. Ruled out: waiting for the table (it costs the same time); addresses that another service uses again: the gate passes on only what its own service is to run, and names the run that it knows.

--- a/forward/local.go
+++ b/forward/local.go
@@ -308,7 +308,8 @@
 	return l.judge(ctx, conn, answer)
 }
 
-// target is the id of the upstream that is to run the call.
+// target is the id of the upstream that is to run the call: the one that is here now.
+// The sender may know of a former run, as after a restart of everything.
 func (l *local) target(c *call) string {
 	if c.upstream != "" {
 		return c.upstream
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -325,6 +325,29 @@
 	}
 }
 
+// TestNewRunServesWhatWasMeantForTheFormer guards callers after a restart of everything,
+// when daemons still know the former runs of upstreams: the gate sends their requests to
+// the run that is there.
+func TestNewRunServesWhatWasMeantForTheFormer(t *testing.T) {
+	var now *upstream
+	now = newUpstream(t, "i-former", func(req *http.Request, c net.Conn) {
+		if req.Header.Get("X-Target") != "i-new" {
+			now.reply(c, req, http.StatusMisdirectedRequest, "", "X-Instance: i-new\r\n")
+			return
+		}
+		now.reply(c, req, 200, "i-new")
+	})
+	gone := newUpstream(t, "i-gone", nil)
+	f := newFleet(t, ordersTable(), now, gone)
+	f.daemons[1].UpstreamLeft("i-gone")
+	f.daemons[0].ReportUpstream(presence.Report{ID: "i-new", Born: 2, Sequence: 1, Service: "orders", State: presence.Ready, Slots: testSlots})
+	for daemon := range 2 {
+		resp, body := f.send(daemon, sent{kind: routing.NonIdempotent})
+		require.Equal(t, 200, resp.StatusCode)
+		require.Equal(t, "i-new", body)
+	}
+}
+
 // TestPlannedStopCutsNothing guards requests in flight at a daemon that stops,
 // from its own callers and from peers, and new ones while callers still think
 // that it is ready: the upstream runs on and takes what ends before the daemon does.
