httpwire: no request is taken behind an answer that ends its connection, or behind one in flight during a stop

A daemon was told to stop at 23.247 s; at 24.773 a client sent a request behind one that was still under way. The second was answered 200 by its upstream at 25.786 and waited for the first until the daemon ended. Reading the code for it showed a second fault: a request whose head is read while the answer before it is written with "Connection: close" was still taken, although its client takes it as not read and sends it again, whatever its kind. Ruled out: the longer use of the upstream during a stop; the first request was at another upstream and had 5 s. Change: taking a request and deciding that a connection ends exclude each other; while the server drains nothing is taken behind a request in flight. What still comes is read and dropped, so that the client's leaving is noticed.

--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -198,6 +198,52 @@
 	c.requireClosed()
 }
 
+// TestDrainTakesNothingBehindARequest guards a planned stop against an answer that is
+// ready and has to wait for a longer one until the process ends: what comes behind a
+// request in flight is not taken, and its client is told so by the end of the connection.
+func TestDrainTakesNothingBehindARequest(t *testing.T) {
+	release, started := make(chan struct{}), make(chan string, 2)
+	s, address := serve(t, func(x *Exchange) {
+		started <- x.Request.URL.Path
+		<-release
+		respond(x, 200, x.Request.URL.Path)
+	})
+	c := dialRaw(t, address)
+	c.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Equal(t, "/1", <-started)
+	s.Drain()
+	c.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Never(t, func() bool { return len(started) > 0 }, 100*time.Millisecond, time.Millisecond)
+	close(release)
+	answer, body := c.answer()
+	require.Equal(t, "/1", body)
+	require.True(t, answer.Close)
+	c.requireClosed()
+	require.Empty(t, started)
+}
+
+// TestNothingRunsBehindAClosingAnswer guards against a request that runs twice: its
+// client has seen an answer before it that ends the connection, and sends it again.
+func TestNothingRunsBehindAClosingAnswer(t *testing.T) {
+	release, started := make(chan struct{}), make(chan string, 2)
+	_, address := serve(t, func(x *Exchange) {
+		started <- x.Request.URL.Path
+		<-release
+		_ = x.Respond(&Response{Status: 200, Header: http.Header{}, Close: true}) // the test reads it
+	})
+	c := dialRaw(t, address)
+	c.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Equal(t, "/1", <-started)
+	c.send("POST /2 HTTP/1.1\r\nHost: a\r\n") // the server reads the rest of this head after the answer
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	answer, _ := c.answer()
+	require.True(t, answer.Close)
+	c.send("Content-Length: 0\r\n\r\n")
+	c.requireClosed()
+	require.Never(t, func() bool { return len(started) > 0 }, 100*time.Millisecond, time.Millisecond)
+}
+
 // TestFinishClosesIdleConnections guards the end of a planned stop.
 func TestFinishClosesIdleConnections(t *testing.T) {
 	s, address := serve(t, func(x *Exchange) { respond(x, 200, "") })
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -78,6 +78,10 @@
 		}
 		c.slots <- struct{}{}
 		x := c.begin(req, limits)
+		if x == nil {
+			<-c.slots
+			return c.watch()
+		}
 		go x.handle()
 		if !x.awaitBody() {
 			return nil
@@ -131,12 +135,15 @@
 	return err
 }
 
-// watch reads until the client closes the connection or all is answered.
+// watch reads until the client closes the connection or all is answered. Requests that
+// still come are not taken; the client sends them again, on another connection.
 func (c *serverConn) watch() error {
-	if err := c.awaitRequest(); err != nil {
-		return c.endOfInput(err)
+	for {
+		if err := c.awaitRequest(); err != nil {
+			return c.endOfInput(err)
+		}
+		_, _ = c.reader.Discard(c.reader.Buffered()) // takes what is there, which cannot fail
 	}
-	return nil // a request that is not taken; the client sends it elsewhere
 }
 
 func (c *serverConn) readHead(limits Limits) (*http.Request, error) {
@@ -179,18 +186,33 @@
 	if c.server.OnBadRequest != nil {
 		c.server.OnBadRequest(c.nc.RemoteAddr(), parse)
 	}
-	c.setEnding()
 	c.slots <- struct{}{}
-	x := c.begin(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, Limits{})
+	c.mu.Lock()
+	c.ending = true
+	x := c.register(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, Limits{})
+	c.mu.Unlock()
 	_ = x.Respond(&Response{Status: parse.Status, Header: http.Header{}}) // the connection ends either way
 	return nil
 }
 
-// begin registers a request behind those before it.
+// begin takes a request, and returns nil if the connection ends with an answer before
+// it: the client then takes the request as not read and sends it again. While the server
+// drains, nothing is taken behind a request in flight, whose answer may come too late.
 func (c *serverConn) begin(req *http.Request, limits Limits) *Exchange {
-	x := newExchange(c, req, limits)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.server.isDraining() && c.open > 0 {
+		c.ending = true
+	}
+	if c.ending {
+		return nil
+	}
+	return c.register(req, limits)
+}
+
+// register puts a request behind those before it. The caller holds the mutex.
+func (c *serverConn) register(req *http.Request, limits Limits) *Exchange {
+	x := newExchange(c, req, limits)
 	if c.last != nil {
 		x.previous = c.last.written
 	}
@@ -230,12 +252,6 @@
 	return true
 }
 
-func (c *serverConn) setEnding() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ending = true
-}
-
 func (c *serverConn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
