balance: an upstream that is too slow is tried every two seconds

Cause: while it was twelve times slower an upstream still got 10 to 20 of 25 calls a second: the latency that was known faded to below the time of a call within 0.8 s, at each of a dozen daemons, and then one call after the other was a try. Ruled out: sharing the gate's estimate in answers: it comes with the same answers. Change: a try every two seconds for each daemon and route; after three late calls in a row one that is fast again starts the estimate anew.

--- a/core/balance/routes.go
+++ b/core/balance/routes.go
@@ -14,6 +14,12 @@
 	// missedFactor estimates how long a call would have taken that was given up, as a
 	// multiple of the time for which it was waited.
 	missedFactor = 1.5
+	// tryAfter is how long an upstream that is too slow for a call gets none before one
+	// is tried. All callers nearby try, so it is well above the time that calls take.
+	tryAfter = 2 * time.Second
+	// slowAfter is the number of late calls in a row after which one that is fast again
+	// shows a recovery. Fewer happen by chance.
+	slowAfter = 3
 	// maxLateWeight is the largest weight of a late call.
 	maxLateWeight = 0.4
 	// maxRoutes bounds the routes that are remembered for an upstream.
@@ -21,7 +27,7 @@
 )
 
 // routeLatency is the latency of an upstream's answers to the calls of one route, in
-// seconds. It fades without calls, so that a recovered upstream is noticed.
+// seconds.
 type routeLatency struct {
 	mean      float64
 	deviation float64 // mean deviation
@@ -49,8 +55,10 @@
 		if m.routes == nil {
 			m.routes = map[string]*routeLatency{}
 		}
-		l = &routeLatency{mean: sample, deviation: sample / 4}
-		m.routes[r.Route] = l
+		m.routes[r.Route] = &routeLatency{mean: sample, deviation: sample / 4, at: now}
+		return
+	case l.late >= slowAfter && r.Outcome == chain.OK && sample < l.mean/2:
+		*l = routeLatency{mean: sample, deviation: sample / 4} // it is no longer slow
 	case r.Outcome == chain.OK || sample > l.mean:
 		weight := l.weight(now, r.Outcome == chain.OK)
 		l.mean += (sample - l.mean) * weight
@@ -80,8 +88,7 @@
 	if l == nil || r.Remaining <= 0 {
 		return true
 	}
-	left := r.Remaining.Seconds()
-	return l.need() <= left || l.need()*forget(now, later(l.at, l.tried)) <= left
+	return l.need() <= r.Remaining.Seconds() || now.Sub(later(l.at, l.tried)) >= tryAfter
 }
 
 // need is the time that most calls take.
