admit, forward: later calls of a run go before first ones

Change: admit.Sequences takes a call that comes within 2 ms after the answer to one on the same route as a later one of the same run; it gets a priority in the upper quarter of its class, all others one below.

--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -53,8 +53,9 @@
 	return t.refused(now, p.Class())
 }
 
-// Admits reports whether a request may go on, and counts it if not. Requests with a
-// high subordinate priority go on, so that a caller who comes again with the same
+// Admits reports whether a request may go on, and counts it if not. The priorities of a
+// class must be spread over all of it, or a part of it that is refused could be all that
+// come, which nothing would ever end. Requests with a high subordinate priority go on, so that a caller who comes again with the same
 // request gets the same verdict.
 func (t *Throttle) Admits(now time.Time, p chain.Priority) bool {
 	t.mu.Lock()
--- a/core/admit/throttle_test.go
+++ b/core/admit/throttle_test.go
@@ -16,6 +16,7 @@
 // its request.
 type chainScenario struct {
 	throttled bool
+	sequenced bool    // later calls go first, as far as times tell which are
 	calls     int     // of each request
 	load      float64 // requests, as a part of those that the deep service can serve
 
@@ -26,6 +27,7 @@
 	nextID uint64
 
 	throttles []*Throttle
+	sequences []*Sequences // of the daemons beside the upstreams that make the calls
 	gates     []*Gate
 	waiting   map[uint64]func(refused bool)
 
@@ -40,6 +42,8 @@
 	// wholeShare is the part of the room of the deep service that is to go into
 	// requests that end well.
 	wholeShare = 0.75
+	// nextCallAfter is how long a run takes to make its next call.
+	nextCallAfter = 300 * time.Microsecond
 	// chainSettled is from when on requests count.
 	chainSettled = 4 * time.Second
 )
@@ -62,6 +66,7 @@
 		s.throttles = append(s.throttles, &Throttle{})
 	}
 	for range chainGates {
+		s.sequences = append(s.sequences, &Sequences{})
 		g := New(Config{Slots: chainSlots, Fixed: true, MaxQueue: 8 * chainSlots})
 		s.gates = append(s.gates, g)
 		s.at(0, func() { s.tick(g) })
@@ -94,7 +99,7 @@
 	// One throttle for each class, as each route has its own.
 	t := s.throttles[s.rng.IntN(len(s.throttles)/2)*2+int(class)/2]
 	if !s.throttled || t.Admits(s.now, priority) {
-		s.call(s.calls, func(ok bool) {
+		s.call(s.sequences[s.rng.IntN(chainGates)], s.calls, func(ok bool) {
 			if !ok {
 				t.Ended(s.now, &chain.Failure{Outcome: chain.Failed, Reason: chain.ReasonHandlerError, Deep: true, Full: true})
 				return
@@ -109,7 +114,7 @@
 }
 
 // call makes the calls of a request, which all have ids of their own.
-func (s *chainScenario) call(left int, done func(ok bool)) {
+func (s *chainScenario) call(from *Sequences, left int, done func(ok bool)) {
 	if left == 0 {
 		done(true)
 		return
@@ -123,10 +128,16 @@
 		}
 		s.at(time.Duration(float64(chainService)*(0.5+s.rng.Float64())), func() {
 			s.apply(g, g.Finish(s.now, id, Result{OK: true}))
-			s.call(left-1, done)
+			from.Answered(s.now, "r")
+			s.at(nextCallAfter, func() { s.call(from, left-1, done) })
 		})
 	}
 	priority := chain.Default.MinPriority() + chain.Priority(s.rng.IntN(128))
+	if follows := from.Follows(s.now, "r"); s.sequenced && follows {
+		priority = priority.Upper()
+	} else if s.sequenced {
+		priority = priority.Lower()
+	}
 	s.apply(g, g.Arrive(s.now, Request{ID: id, Priority: priority, Deadline: s.now.Add(700 * time.Millisecond), Route: "r"}))
 }
 
--- a/core/chain/chain.go
+++ b/core/chain/chain.go
@@ -68,6 +68,21 @@
 	return Priority(class)<<subPriorityBits | sub
 }
 
+// upperShare is the part of the priorities of a class that Upper returns.
+const upperShare = 4
+
+// Upper is the corresponding priority in the upper part of the class.
+func (p Priority) Upper() Priority {
+	const size = 1 << subPriorityBits
+	return p.Class().MinPriority() + size - size/upperShare + (p&(size-1))/upperShare
+}
+
+// Lower is the corresponding priority below the upper part of the class.
+func (p Priority) Lower() Priority {
+	const size = 1 << subPriorityBits
+	return p.Class().MinPriority() + (p&(size-1))*(upperShare-1)/upperShare
+}
+
 // Class returns the class part of the priority.
 func (p Priority) Class() Class { return Class(p >> subPriorityBits) }
 
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -24,6 +24,7 @@
 	route    *routing.Route
 	service  *service
 	throttle *admit.Throttle // of the route
+	priority chain.Priority
 	call     call
 	client   time.Duration // that the client waits; 0 if it did not say
 	limit    time.Time     // when it must be answered
@@ -61,12 +62,12 @@
 // would end the request that made it.
 func (r *request) turnAway() *result {
 	now := r.f.cfg.Now()
-	if !r.f.local.called.ByClients(r.route.Name) || r.throttle.Admits(now, r.call.priority) {
+	if !r.f.local.called.ByClients(r.route.Name) || r.throttle.Admits(now, r.priority) {
 		return nil
 	}
 	failure := chain.NewFailure(chain.NotRun, chain.ReasonDownstream, "services below turn away too many calls of this route")
-	r.f.recordThrottle(r, r.throttle.Refused(now, r.call.priority), failure, now)
-	return &result{failure: failure, retryAfter: admit.RetryAfter(r.call.priority)}
+	r.f.recordThrottle(r, r.throttle.Refused(now, r.priority), failure, now)
+	return &result{failure: failure, retryAfter: admit.RetryAfter(r.priority)}
 }
 
 // margin is how long the entrance waits past the limit. Past the time of the
@@ -97,9 +98,10 @@
 	r.throttle = v.throttles[r.route.Name]
 	r.client = clientWait(req.Header.Get(f.cfg.Dialect.Deadline))
 	r.limit = r.arrived.Add(waitFor(r.route, r.client))
+	r.priority = chain.NewPriority(classOf(r.route.Rank), r.call.id)
 	r.call = call{
 		id: r.call.id, route: word(r.route.Name), kind: r.route.Kind, service: r.service.name,
-		priority: chain.NewPriority(classOf(r.route.Rank), r.call.id), deadline: r.limit,
+		priority: r.atGates(r.priority), deadline: r.limit,
 		repeat: f.local.load.repeatShare(),
 		method: req.Method, target: req.RequestURI, host: req.Host, header: httpwire.EndToEnd(req.Header),
 	}
@@ -108,6 +110,16 @@
 	return r.readBody()
 }
 
+// atGates is the priority of a call at gates: later calls of a run go before first ones
+// of their class.
+func (r *request) atGates(p chain.Priority) chain.Priority {
+	l := r.f.local
+	if l.sequences.Follows(r.arrived, r.route.Name) && !l.called.ByClients(r.route.Name) {
+		return p.Upper()
+	}
+	return p.Lower()
+}
+
 // classOf maps the rank of a route, 0 being the highest, to a class.
 func classOf(rank int) chain.Class {
 	switch {
@@ -392,6 +404,9 @@
 	if failure != nil && failure.Outcome != chain.OK && r.route != nil {
 		r.f.local.noteFailed(r.f.cfg.Now(), r.route.Name, failure)
 	}
+	if failure == nil {
+		r.f.local.sequences.Answered(r.f.cfg.Now(), r.route.Name)
+	}
 	if err := r.x.Respond(resp); err != nil {
 		if failure == nil {
 			failure = chain.Wrap(chain.OK, chain.ReasonCancelled, "the client left before the end of the answer", err)
--- a/forward/local.go
+++ b/forward/local.go
@@ -38,6 +38,7 @@
 	lastFailed atomic.Int64 // steady nanoseconds of the last failure of what may be a call of the upstream
 	lastFull   atomic.Int64 // the same, of those that found no room
 	called     admit.Called // which routes the upstream calls
+	sequences  admit.Sequences
 	ctx        context.Context
 }
 
