forward: late in a planned stop, no request is taken that the daemon might cut

A daemon got SIGTERM at 7.000 s; at 10.005 s a client sent a status request on a kept connection. It was passed to an upstream that was slow at the time, and cut at 12.702 s, when the daemon ended. Ruled out: a request behind another one on its connection (mended before); the upstream that stops: it was beside another daemon. Change: once callers have had 2.5 s to notice the stop, the entrance refuses requests that have to end later than the daemon, as not run ("stopping"), and asks the client back after 50 ms, since another daemon can take them at once. Calls of runs in flight end with their run, before the daemon does, and go on. Before/after: TestStopCutsNoLateRequest gets 200 and a request that may be cut without the change.

--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -49,7 +49,10 @@
 	f.record(&r.call, "received", nil, f.cfg.Now(), f.cfg.Now().Sub(r.arrived))
 	ctx, cancel := context.WithDeadline(x.Context(), x.Arrived.Add(r.limit.Sub(r.arrived)+r.margin()))
 	defer cancel()
-	res := r.turnAway()
+	res := r.mayBeCut()
+	if res == nil {
+		res = r.turnAway()
+	}
 	if res == nil {
 		res = r.run(ctx)
 		r.throttle.Ended(f.cfg.Now(), res.failure)
@@ -57,6 +60,22 @@
 	r.finish(res)
 }
 
+// stopComeBack is when a client may try again that a stopping daemon refused: another
+// daemon can take the request now, and only the new connection takes time.
+const stopComeBack = 50 * time.Millisecond
+
+// mayBeCut refuses a request that comes late in a planned stop and may outlast the
+// daemon. It is nil if the request may go on.
+func (r *request) mayBeCut() *result {
+	l := r.f.local
+	if !l.leaving.Load() || !l.outlasts(&r.call) {
+		return nil
+	}
+	res := refused(chain.ReasonStopping, "the daemon stops before the request has to end")
+	res.retryAfter = stopComeBack
+	return res
+}
+
 // turnAway refuses a request early if too many of its route fail further down, and
 // is nil if it may go on. A call of the local upstream always does: turned away, it
 // would end the request that made it.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -125,8 +125,7 @@
 	f.local.endAt(f.cfg.Now().Add(grace - finalMargin))
 	f.cfg.Logger.Info().Int("in_flight", f.entrance.InFlight()+f.inbound.InFlight()).Dur("grace", grace).Msg("planned stop begins")
 	time.Sleep(time.Until(begun.Add(min(unreadyTime, grace/2))))
-	f.inbound.Drain()
-	f.local.drain()
+	f.endIntake()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-finalMargin))
 	defer cancel()
 	f.awaitQuiet(ctx)
@@ -139,6 +138,13 @@
 	f.cfg.Logger.Info().Dur("took", time.Since(begun)).Msg("planned stop ends")
 }
 
+// endIntake ends the taking of new work, once callers have had time to notice the stop:
+// none for the local upstream, and none at the entrance that may outlast the daemon.
+func (f *Forwarder) endIntake() {
+	f.inbound.Drain()
+	f.local.drain()
+}
+
 // awaitQuiet waits until nothing is in flight.
 func (f *Forwarder) awaitQuiet(ctx context.Context) {
 	ticker := time.NewTicker(20 * time.Millisecond)
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -377,7 +377,7 @@
 	f.stop[0]()
 	require.Eventually(t, func() bool { return !f.daemons[0].Ready() }, patience, time.Millisecond)
 	sendBoth()
-	f.daemons[0].local.drain() // as the stop does once callers have noticed it
+	f.daemons[0].endIntake() // as the stop does once callers have noticed it
 	resp, _ := f.send(0, sent{kind: routing.Idempotent})
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "no upstream takes new work; the caller may come back")
 	require.True(t, resp.Close)
@@ -405,6 +405,45 @@
 	require.Equal(t, "i-1", body, "a short call still runs there")
 }
 
+// TestStopCutsNoLateRequest guards requests that come once callers should have noticed
+// the stop: one that might outlast the daemon is refused as not run and may go to another
+// daemon at once, since it would be cut there; one that ends before is served.
+func TestStopCutsNoLateRequest(t *testing.T) {
+	release, started := make(chan struct{}), make(chan struct{})
+	var slow *upstream
+	slow = newUpstream(t, "i-1", func(req *http.Request, c net.Conn) {
+		close(started)
+		<-release
+		slow.reply(c, req, 200, "i-1")
+	})
+	table := ordersTable()
+	for i := range table.Routes {
+		table.Routes[i].Timeout = 2 * patience
+	}
+	f := newFleet(t, table, slow, newUpstream(t, "i-2", nil))
+	f.daemons[0].cfg.Grace = patience
+	inFlight := make(chan string)
+	go func() {
+		_, body := f.send(0, sent{kind: routing.NonIdempotent})
+		inFlight <- body
+	}()
+	<-started
+	f.stop[0]()
+	require.Eventually(t, func() bool { return f.daemons[0].local.endBy.Load() != nil }, patience, time.Millisecond)
+	_, body := f.send(0, sent{kind: routing.NonIdempotent})
+	require.Equal(t, "i-2", body, "callers cannot have noticed yet")
+	f.daemons[0].endIntake() // as the stop does once callers have noticed it
+	resp, body := f.send(0, sent{kind: routing.NonIdempotent})
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Contains(t, body, "not-run (stopping)")
+	require.True(t, resp.Close)
+	require.Equal(t, "0.050", resp.Header.Get("Retry-After"))
+	_, body = f.send(0, sent{kind: routing.NonIdempotent, wait: time.Second})
+	require.Equal(t, "i-2", body)
+	close(release)
+	require.Equal(t, "i-1", <-inFlight)
+}
+
 // TestDeepFailureIsNotRepeated guards against retries that multiply along a call
 // chain: a request that failed since a call below failed was retried there.
 func TestDeepFailureIsNotRepeated(t *testing.T) {
