roster, control: a group of the least size bears losses in turn; stopping replicas hand over

A VM was taken away at 2.6 s; its successor became a fourth voter at 5.0 s, since the lost one had not been silent for 2 s under a new leader. At 11.1 s another disk was lost: two of four voters. Ruled out: raft (the quorum was really gone); the wait for the lost voter alone: with three voters a fourth bears nothing more in any case. Change: a group that bears the promised losses grows by two, by replicas that stay (another availability zone, or 20 s), and only once every voter has answered the present leader. A lost voter is replaced after 3 s instead of 5, which leaves time within the catch-up of its successor; after a change of the leader it may be replaced although it is not known which came first. A replica that stops as planned asks the leader to let a learner of its zone vote first (new call Leave, 1.5 s at most). A replica that is being added is forgotten as a candidate at once, or it could be added again after it was replaced. TestThreeReplicasBearLossesInTurn, TestGroupOfLeastSize GrowsByTwo, TestLeavingVoterIsReplaced, TestStoppingReplicaHandsOver. TestReplacedReplicaIsTold grew its group while a voter was stopped, which no longer happens; it now starts with five voters and checks the same.

--- a/control/join.go
+++ b/control/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +43,8 @@
 type joiners struct {
 	mu   sync.Mutex
 	byID map[uint64]roster.Candidate
+	// leaving are the voters that are about to stop, by their last request.
+	leaving map[uint64]time.Time
 }
 
 func (j *joiners) note(ref *api.ReplicaRef, now time.Time) (isNew bool) {
@@ -55,16 +58,31 @@
 	return !known
 }
 
-// forget drops the joiners that have been added. A replica that is removed later
-// must not be added again for its old request.
-func (j *joiners) forget(set *api.ReplicaSet) {
+func (j *joiners) noteLeaving(id uint64, now time.Time) (isNew bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for id, c := range j.byID {
-		if contains(set, c.Ref) {
-			delete(j.byID, id)
-		}
+	if j.leaving == nil {
+		j.leaving = map[uint64]time.Time{}
 	}
+	_, known := j.leaving[id]
+	j.leaving[id] = now
+	return !known
+}
+
+// listLeaving returns the voters that are about to stop, without those that no longer ask.
+func (j *joiners) listLeaving(now time.Time) map[uint64]time.Time {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	maps.DeleteFunc(j.leaving, func(_ uint64, at time.Time) bool { return now.Sub(at) > time.Minute })
+	return maps.Clone(j.leaving)
+}
+
+// forget drops a joiner that is being added. A replica that is removed later must not be
+// added again for its old request.
+func (j *joiners) forget(id uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.byID, id)
 }
 
 // list returns the joiners in the order of their ids, without those that no
@@ -97,6 +115,42 @@
 	return &api.JoinReply{Leader: true, LeaderAddress: s.self.Address}, nil
 }
 
+// Leave notes a voter that is about to stop, if this replica leads.
+func (s *Server) Leave(_ context.Context, r *api.LeaveRequest) (*api.LeaveReply, error) {
+	v := s.configuration().view.Load()
+	if v.status.Role != raft.Leader {
+		return &api.LeaveReply{LeaderAddress: v.status.Leader.GetAddress()}, nil
+	}
+	if ref := r.GetReplica(); contains(v.status.Set, ref) && s.joiners.noteLeaving(ref.Id, s.cfg.Clock()) {
+		s.cfg.Logger.Info().Uint64("replica", ref.Id).Str("address", ref.Address).Str("availability_zone", ref.AvailabilityZone).Msg("replica is about to stop")
+	}
+	return &api.LeaveReply{Leader: true, LeaderAddress: s.self.Address}, nil
+}
+
+// HandOver lets a learner of the same availability zone take the place of this replica
+// before it stops. It returns at once if there is none, and when it is done or ctx ends.
+func (s *Server) HandOver(ctx context.Context) {
+	for s.hasSuccessor() {
+		leader := s.configuration().view.Load().status.Leader.GetAddress()
+		s.callReplica(ctx, leader, func(ctx context.Context, c api.ReplicaClient) error {
+			_, err := c.Leave(ctx, &api.LeaveRequest{Replica: s.self})
+			return err
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(replacePoll):
+		}
+	}
+}
+
+// hasSuccessor reports whether this replica votes and a learner could take its place.
+func (s *Server) hasSuccessor() bool {
+	set := s.configuration().view.Load().status.Set
+	successor := func(r *api.ReplicaRef) bool { return r.AvailabilityZone == s.self.AvailabilityZone }
+	return inList(set.GetVoters(), s.self.Id) && slices.ContainsFunc(set.GetLearners(), successor)
+}
+
 // Belongs answers whether a replica is a member. The answer is given only after
 // a quorum has confirmed, after the request came, that this replica leads: a
 // former leader may not know the newest set.
@@ -224,6 +278,7 @@
 	looked  time.Time
 	resumed time.Time // end of the last pause of this process
 	term    uint64
+	since   time.Time            // start of this leadership
 	joined  map[uint64]time.Time // of learners, in this term of leadership
 }
 
@@ -240,12 +295,12 @@
 		return
 	}
 	k.noteLearners(now, v)
-	s.joiners.forget(v.status.Set)
 	step := roster.Next(k.view(now, v), k.policy)
 	if step.Kind == roster.None {
 		return
 	}
 	err := g.changeSet(ctx, func(r *raft.Raft) error { return propose(r, step) })
+	s.joiners.forget(step.Ref.Id)
 	s.cfg.Logger.Info().Str("step", step.Kind.String()).Uint64("replica", step.Ref.Id).Str("address", step.Ref.Address).
 		Uint64("replaces", step.Replaces).Str("reason", step.Reason).Uint64("term", v.status.Term).Err(err).Msg("replica set changes")
 }
@@ -265,7 +320,7 @@
 // of leadership were there before.
 func (k *rosterKeeper) noteLearners(now time.Time, v *view) {
 	if k.term != v.status.Term {
-		k.term, k.joined = v.status.Term, map[uint64]time.Time{}
+		k.term, k.since, k.joined = v.status.Term, now, map[uint64]time.Time{}
 		for _, l := range v.status.Set.GetLearners() {
 			k.joined[l.Id] = time.Time{}
 		}
@@ -286,7 +341,7 @@
 		}
 	}
 	return roster.View{
-		Now: now, Self: k.server.self.Id, Set: v.status.Set, Settled: v.status.SetCommitted && len(v.status.Set.GetOldVoters()) == 0,
-		Heard: heard, Joined: k.joined, Candidates: k.server.joiners.list(now),
+		Now: now, Since: k.since, Self: k.server.self.Id, Set: v.status.Set, Settled: v.status.SetCommitted && len(v.status.Set.GetOldVoters()) == 0,
+		Heard: heard, Seen: v.status.Answered, Joined: k.joined, Leaving: k.server.joiners.listLeaving(now), Candidates: k.server.joiners.list(now),
 	}
 }
--- a/control/join_test.go
+++ b/control/join_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,12 +22,13 @@
 type seededCluster struct {
 	t       *testing.T
 	dir     string
-	places  []string // listen addresses, the first three are the seeds
+	places  []string          // listen addresses, the first three are the seeds
+	zones   map[string]string // availability zones of places that are not alone in one
 	running map[string]*process
 }
 
 func newSeededCluster(t *testing.T, replicas int) *seededCluster {
-	c := &seededCluster{t: t, dir: t.TempDir(), running: map[string]*process{}}
+	c := &seededCluster{t: t, dir: t.TempDir(), zones: map[string]string{}, running: map[string]*process{}}
 	for range replicas {
 		c.places = append(c.places, freeAddress(t))
 	}
@@ -46,7 +48,7 @@
 		TickInterval: 20 * time.Millisecond,
 		Machine:      func(uint32) Machine { return state.NewFleet() },
 		Seeded: &Seeded{
-			Seeds: c.places[:3], FirstStart: firstStart, Losses: 1, AvailabilityZone: "zone-of-" + place,
+			Seeds: c.places[:3], FirstStart: firstStart, Losses: 1, AvailabilityZone: cmp.Or(c.zones[place], "zone-of-"+place),
 		},
 	})
 	require.NoError(c.t, err)
@@ -185,9 +187,9 @@
 // was replaced and waits for ever, or disturbs the group: it learns that it no
 // longer belongs.
 func TestReplacedReplicaIsTold(t *testing.T) {
-	c := newSeededCluster(t, 4)
+	c := newSeededCluster(t, 5)
 	c.startAll()
-	c.awaitVoters(c.places...)
+	id := c.awaitVoters(c.places...)[c.places[3]]
 	gone := c.places[3]
 	c.stop(gone)
 	var leader *process
@@ -199,11 +201,6 @@
 		}
 		return leader != nil
 	}, patience, 20*time.Millisecond)
-	next := freeAddress(t)
-	c.places = append(c.places, next)
-	c.start(next, false)
-	c.awaitVoters(append(c.places[:3:3], gone, next)...) // a fifth voter
-	id := c.voters()[gone]
 	fresh := freeAddress(t)
 	p := c.start(fresh, false)
 	require.Eventually(t, func() bool {
@@ -226,3 +223,60 @@
 		t.Fatal("the replaced replica was not told")
 	}
 }
+
+// successor returns a new place in the availability zone of another one.
+func (c *seededCluster) successor(of string) string {
+	place := freeAddress(c.t)
+	c.zones[place] = cmp.Or(c.zones[of], "zone-of-"+of)
+	return place
+}
+
+// TestThreeReplicasBearLossesInTurn guards a group of the least size: the successor of a
+// VM that is gone takes its place instead of joining as a fourth voter, which would leave
+// two of four when the next disk is lost.
+func TestThreeReplicasBearLossesInTurn(t *testing.T) {
+	c := newSeededCluster(t, 3)
+	c.startAll()
+	c.awaitVoters(c.places...)
+	c.route(0, 1)
+	gone, kept, wiped := c.places[0], c.places[1], c.places[2]
+	c.stop(gone)
+	next := c.successor(gone)
+	c.start(next, false)
+	former := c.awaitVoters(next, kept, wiped)[wiped]
+	c.stop(wiped)
+	c.wipe(wiped)
+	c.start(wiped, false)
+	require.Eventually(t, func() bool {
+		v := c.voters()
+		return len(v) == 3 && v[wiped] != 0 && v[wiped] != former
+	}, patience, 20*time.Millisecond)
+	c.awaitNumber(wiped, 1)
+	c.route(1, 2)
+}
+
+// TestStoppingReplicaHandsOver guards the number of voters against planned stops: one
+// that has a learner in its availability zone lets it vote before it stops, the leader
+// too, and one that has none stops at once.
+func TestStoppingReplicaHandsOver(t *testing.T) {
+	c := newSeededCluster(t, 3)
+	c.startAll()
+	c.awaitVoters(c.places...)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c.running[c.places[0]].server.HandOver(ctx)
+	c.awaitVoters(c.places...)
+	for _, place := range c.places {
+		next := c.successor(place)
+		p := c.start(next, false)
+		require.Eventually(t, func() bool { return !p.server.empty() }, patience, 20*time.Millisecond)
+		require.Eventually(t, func() bool { return c.running[place].server.hasSuccessor() }, patience, 20*time.Millisecond)
+		c.running[place].server.HandOver(ctx)
+		require.NoError(t, ctx.Err())
+		require.Zero(t, c.voters()[place])
+		c.stop(place)
+		require.Eventually(t, func() bool { return c.voters()[next] != 0 }, patience, 20*time.Millisecond)
+	}
+	require.Len(t, c.voters(), 3)
+	c.route(0, 1)
+}
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -30,6 +30,7 @@
 
 	active         bool
 	heard          time.Time // last message from the replica, or the start of this leadership
+	answered       bool      // a message came during this leadership
 	acked          uint64    // largest heartbeat sequence acknowledged
 	token          uint64    // of the reply that acknowledged it
 	matchAtReply   uint64    // match at the previous heartbeat reply
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -224,7 +224,7 @@
 	default:
 		if p := r.progress[m.From.Id]; p != nil && r.role == Leader {
 			p.active = true
-			p.heard = r.now
+			p.heard, p.answered = r.now, true
 			r.handleReply(p, m)
 		}
 	}
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -77,6 +77,7 @@
 	SetCommitted    bool                 // the set in effect is committed
 	Match           map[uint64]uint64    // on the leader: durable index by replica id
 	Heard           map[uint64]time.Time // on the leader: last message by replica id, at the earliest the start of its leadership
+	Answered        map[uint64]bool      // on the leader: replicas that sent a message during its leadership
 	Foreign         uint64               // messages ignored for naming another replica or disk
 	Elections       uint64               // elections this replica started
 }
@@ -91,9 +92,10 @@
 	if r.role == Leader {
 		s.Match = map[uint64]uint64{}
 		s.Heard = map[uint64]time.Time{}
+		s.Answered = map[uint64]bool{}
 		for id, p := range r.progress {
 			s.Match[id] = p.match
-			s.Heard[id] = p.heard
+			s.Heard[id], s.Answered[id] = p.heard, p.answered
 		}
 	}
 	return s
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -13,27 +13,40 @@
 
 // Policy holds the limits of a roster.
 type Policy struct {
-	// Voters is the number of voters that the group grows to.
-	Voters int
+	// Voters is the number of voters that the group grows to, and LeastVoters the number
+	// that bears the promised losses.
+	Voters, LeastVoters int
 	// LostAfter is the silence of a voter after which a newer replica of its
 	// availability zone takes its place.
 	LostAfter time.Duration
+	// UnseenAfter is the silence of a voter since the start of a leadership after which any
+	// replica of its availability zone takes its place.
+	UnseenAfter time.Duration
 	// AbandonedAfter is the silence of a voter after which any learner may take
 	// its place, and of a learner after which it is dropped.
 	AbandonedAfter time.Duration
 	// FreshWithin is the silence up to which a replica counts as running.
 	FreshWithin time.Duration
+	// SettledAfter is how long a learner has to run before a group that bears the promised
+	// losses grows by it in an availability zone that has a voter.
+	SettledAfter time.Duration
 }
 
 // The periods of DefaultPolicy.
 const (
-	// lostAfter exceeds the usual freeze or partition of a VM, after which it
-	// returns with its disk. A VM that is gone has a successor by then.
-	lostAfter = 5 * time.Second
+	// lostAfter exceeds an election and the pauses of a busy VM. With an election before,
+	// and the promotion after it, a lost voter is replaced within the catch-up time of
+	// its successor, after which the next VM may be lost.
+	lostAfter = 3 * time.Second
+	// unseenAfter is twice as long: a new leader does not know which came first, the
+	// silence of the voter or the learner.
+	unseenAfter = 2 * lostAfter
 	// abandonedAfter exceeds the outages that a VM survives.
-	abandonedAfter = time.Minute
+	abandonedAfter = 30 * time.Second
 	// freshWithin covers several heartbeat rounds.
 	freshWithin = 2 * time.Second
+	// settledAfter exceeds the time for which a VM and its planned successor run both.
+	settledAfter = 20 * time.Second
 	// successorLead is how long before the stop of a VM its planned successor
 	// may have joined.
 	successorLead = 10 * time.Second
@@ -43,7 +56,7 @@
 // given number of replicas at once. One replica more than that may be away for
 // repair.
 func DefaultPolicy(losses int) Policy {
-	return Policy{Voters: 2*losses + 3, LostAfter: lostAfter, AbandonedAfter: abandonedAfter, FreshWithin: freshWithin}
+	return Policy{Voters: 2*losses + 3, LeastVoters: 2*losses + 1, LostAfter: lostAfter, UnseenAfter: unseenAfter, AbandonedAfter: abandonedAfter, FreshWithin: freshWithin, SettledAfter: settledAfter}
 }
 
 // Candidate is a replica without state that asked to be added.
@@ -57,8 +70,11 @@
 	Now        time.Time
 	Self       uint64
 	Set        *api.ReplicaSet
+	Since      time.Time            // start of this leadership
 	Settled    bool                 // the set is committed and not a joint one
 	Heard      map[uint64]time.Time // last message by replica id
+	Seen       map[uint64]bool      // replicas that have answered this leadership
+	Leaving    map[uint64]time.Time // voters that are about to stop, by their last request
 	Joined     map[uint64]time.Time // when a learner was added; zero if that was before this leadership
 	Candidates []Candidate
 }
@@ -106,7 +122,7 @@
 // rules are in the order of urgency: first what restores the number of disks
 // that hold the log.
 var rules = []func(View, Policy) Step{
-	View.replaceLostDisk, View.grow, View.replaceBySuccessor, View.replaceAbandoned, View.addLearner, View.dropLearner,
+	View.replaceLostDisk, View.grow, View.replaceLeaving, View.replaceBySuccessor, View.replaceAbandoned, View.addLearner, View.dropLearner,
 }
 
 // promotion ends a promotion whose learner has gone.
@@ -132,14 +148,20 @@
 	return Step{}
 }
 
-// grow adds a voter while there are too few. It waits while a voter is silent:
-// one more would raise the quorum without one more running replica.
+// grow adds a voter while there are too few. It waits until all voters answer: one more
+// would raise the quorum without one more running replica. A group that bears the promised
+// losses grows by two, since an even number bears no more than the odd one below it, and
+// loses its quorum with one voter less than the odd one above.
 func (v View) grow(p Policy) Step {
-	if len(v.Set.Voters) >= p.Voters || v.anySilentVoter(p) {
+	if len(v.Set.Voters) >= p.Voters || !v.allVotersAnswer(p) {
 		return Step{}
 	}
-	refs := v.newcomers(p)
-	if len(refs) == 0 {
+	refs, needed := v.newcomers(p), 1
+	if n := len(v.Set.Voters); n >= p.LeastVoters {
+		refs = slices.DeleteFunc(refs, func(r *api.ReplicaRef) bool { return !v.stays(r, p) })
+		needed = 1 + n%2
+	}
+	if len(refs) < needed {
 		return Step{}
 	}
 	best := refs[0]
@@ -152,14 +174,44 @@
 	return Step{Kind: Promote, Ref: best, Reason: "the group has too few voters"}
 }
 
+// stays reports whether a newcomer is one more replica and not the successor of a voter
+// that is about to stop.
+func (v View) stays(ref *api.ReplicaRef, p Policy) bool {
+	if !v.hasVoterIn(ref.AvailabilityZone) {
+		return true
+	}
+	since := v.Since
+	if joined := v.Joined[ref.Id]; joined.After(since) {
+		since = joined
+	}
+	return v.member(ref.Id) && v.Now.Sub(since) >= p.SettledAfter
+}
+
+// replaceLeaving replaces a voter that is about to stop by a learner of its availability
+// zone: the VM may be taken away, and the next one lost right after. While another voter
+// of the zone is silent the learner is kept for that one.
+func (v View) replaceLeaving(p Policy) Step {
+	for _, voter := range v.Set.Voters {
+		if !v.leaving(voter, p) || v.anySilentIn(voter.AvailabilityZone, p) {
+			continue
+		}
+		for _, l := range v.newcomers(p) {
+			if l.AvailabilityZone == voter.AvailabilityZone {
+				return Step{Kind: Promote, Ref: l, Replaces: voter.Id, Reason: "a voter stops and a replica of its availability zone is ready"}
+			}
+		}
+	}
+	return Step{}
+}
+
 // replaceBySuccessor replaces a silent voter by a replica that joined in its
 // availability zone at about the time at which the voter fell silent. A learner
 // that was there before does not count: the voter may be frozen or cut off, and
 // replacing it would cost a copy of the log for nothing.
 func (v View) replaceBySuccessor(p Policy) Step {
-	for _, voter := range v.silentVoters(p.LostAfter) {
+	for _, voter := range v.silentVoters(p.FreshWithin) {
 		for _, ref := range v.newcomers(p) {
-			if ref.AvailabilityZone == voter.AvailabilityZone && v.joinedSince(ref, v.Heard[voter.Id].Add(-successorLead)) {
+			if ref.AvailabilityZone == voter.AvailabilityZone && v.succeeds(ref, voter, p) {
 				return Step{Kind: Promote, Ref: ref, Replaces: voter.Id, Reason: "a voter is silent and a replica of its availability zone is ready"}
 			}
 		}
@@ -167,6 +219,24 @@
 	return Step{}
 }
 
+// succeeds reports whether a newcomer may have come in place of a silent voter. A leader
+// does not know when the learners that it found had joined; they may all have. A voter
+// that was silent before its time is replaced sooner by a replica that came since, as it
+// has been silent for longer than is known, and later by others, as it may have led and
+// be frozen.
+func (v View) succeeds(ref, voter *api.ReplicaRef, p Policy) bool {
+	fell := v.Heard[voter.Id].Add(-successorLead)
+	joined, unseen, silence := v.Joined[ref.Id], !v.Seen[voter.Id], v.silence(voter)
+	switch {
+	case !v.member(ref.Id) || joined.After(fell):
+		return unseen || silence > p.LostAfter
+	case unseen:
+		return silence > p.UnseenAfter
+	default:
+		return joined.IsZero() && v.Since.After(fell) && silence > p.LostAfter
+	}
+}
+
 // replaceAbandoned replaces a voter that has been silent for long by any
 // learner.
 func (v View) replaceAbandoned(p Policy) Step {
@@ -196,12 +266,18 @@
 	return Step{}
 }
 
-// newcomers lists the replicas that could become voters: the learners that run,
-// then the candidates.
+// leaving reports whether a replica is about to stop.
+func (v View) leaving(ref *api.ReplicaRef, p Policy) bool {
+	asked, ok := v.Leaving[ref.Id]
+	return ok && v.Now.Sub(asked) <= p.FreshWithin
+}
+
+// newcomers lists the replicas that could become voters: the learners that run and are
+// not about to stop, then the candidates.
 func (v View) newcomers(p Policy) []*api.ReplicaRef {
 	var refs []*api.ReplicaRef
 	for _, l := range v.Set.Learners {
-		if v.silence(l) <= p.FreshWithin {
+		if v.silence(l) <= p.FreshWithin && !v.leaving(l, p) {
 			refs = append(refs, l)
 		}
 	}
@@ -213,12 +289,6 @@
 	return refs
 }
 
-// joinedSince reports whether a replica joined after a time; a candidate is
-// about to.
-func (v View) joinedSince(ref *api.ReplicaRef, since time.Time) bool {
-	return !v.member(ref.Id) || v.Joined[ref.Id].After(since)
-}
-
 func (v View) fresh(c Candidate, p Policy) bool { return v.Now.Sub(c.AskedAt) <= p.FreshWithin }
 
 func (v View) member(id uint64) bool {
@@ -243,7 +313,15 @@
 	return silent
 }
 
-func (v View) anySilentVoter(p Policy) bool { return len(v.silentVoters(p.FreshWithin)) > 0 }
+func (v View) anySilentIn(zone string, p Policy) bool {
+	return slices.ContainsFunc(v.silentVoters(p.FreshWithin), func(r *api.ReplicaRef) bool { return r.AvailabilityZone == zone })
+}
+
+// allVotersAnswer reports whether each voter has answered this leadership, and lately.
+func (v View) allVotersAnswer(p Policy) bool {
+	unseen := func(r *api.ReplicaRef) bool { return r.Id != v.Self && !v.Seen[r.Id] }
+	return !slices.ContainsFunc(v.Set.Voters, unseen) && len(v.silentVoters(p.FreshWithin)) == 0
+}
 
 func (v View) hasVoterIn(zone string) bool {
 	return slices.ContainsFunc(v.Set.Voters, func(r *api.ReplicaRef) bool { return r.AvailabilityZone == zone })
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -18,11 +18,11 @@
 // fiveVoters is a settled group of five voters in zones a to e, all heard now,
 // led by replica 1.
 func fiveVoters() View {
-	v := View{Now: start, Self: 1, Settled: true, Set: &api.ReplicaSet{}, Heard: map[uint64]time.Time{}, Joined: map[uint64]time.Time{}}
+	v := View{Now: start, Self: 1, Settled: true, Set: &api.ReplicaSet{}, Heard: map[uint64]time.Time{}, Seen: map[uint64]bool{}, Joined: map[uint64]time.Time{}}
 	for i, zone := range []string{"a", "b", "c", "d", "e"} {
 		id := uint64(i + 1)
 		v.Set.Voters = append(v.Set.Voters, ref(id, zone+":1", zone))
-		v.Heard[id] = start
+		v.Heard[id], v.Seen[id] = start, true
 	}
 	return v
 }
@@ -115,3 +115,48 @@
 	stale.Candidates = []Candidate{{Ref: ref(9, "f:1", "f"), AskedAt: start.Add(-time.Minute)}}
 	require.Equal(t, None, Next(stale, DefaultPolicy(1)).Kind, "a candidate that no longer asks is gone")
 }
+
+// TestGroupOfLeastSizeGrowsByTwo guards the quorum of a group that bears the promised
+// losses: a fourth voter alone would raise it for nothing, one that may be the successor
+// of a voter waits, and none is added before all voters have answered.
+func TestGroupOfLeastSizeGrowsByTwo(t *testing.T) {
+	three := func() View {
+		v := fiveVoters()
+		v.Set.Voters = v.Set.Voters[:3]
+		return v
+	}
+	one := three().candidate(ref(8, "d:1", "d"))
+	require.Equal(t, AddLearner, Next(one, DefaultPolicy(1)).Kind)
+	two := one.candidate(ref(9, "e:1", "e"))
+	require.Equal(t, Promote, Next(two, DefaultPolicy(1)).Kind)
+	two.Seen = map[uint64]bool{2: true}
+	require.Equal(t, AddLearner, Next(two, DefaultPolicy(1)).Kind, "a voter that has never answered may be gone")
+
+	same := three().candidate(ref(8, "a:2", "a")).candidate(ref(9, "b:2", "b"))
+	require.Equal(t, AddLearner, Next(same, DefaultPolicy(1)).Kind)
+	learners := three()
+	learners.Set.Learners = []*api.ReplicaRef{ref(8, "a:2", "a"), ref(9, "b:2", "b")}
+	for _, l := range learners.Set.Learners {
+		learners.Heard[l.Id], learners.Joined[l.Id] = start, start
+	}
+	require.Equal(t, None, Next(learners.after(10*time.Second), DefaultPolicy(1)).Kind)
+	require.Equal(t, Promote, Next(learners.after(settledAfter), DefaultPolicy(1)).Kind)
+}
+
+// TestLeavingVoterIsReplaced guards the number of voters that run against planned stops;
+// a learner that another voter of the zone needs more is kept for that one.
+func TestLeavingVoterIsReplaced(t *testing.T) {
+	v := fiveVoters()
+	v.Set.Learners = []*api.ReplicaRef{ref(9, "c:2", "c")}
+	v.Heard[9] = start
+	v.Leaving = map[uint64]time.Time{3: start}
+	step := Next(v, DefaultPolicy(1))
+	require.Equal(t, Promote, step.Kind)
+	require.Equal(t, uint64(3), step.Replaces)
+	v.Set.Voters[3].AvailabilityZone = "c"
+	late := v.after(2500*time.Millisecond, 4)
+	late.Leaving[3] = late.Now
+	require.Equal(t, None, Next(late, DefaultPolicy(1)).Kind)
+	v.Leaving[9] = start
+	require.Equal(t, None, Next(v, DefaultPolicy(1)).Kind, "the learner stops too")
+}
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -88,8 +88,12 @@
 
 func (p *fleetProcess) directory() string { return filepath.Join(p.settings.DataDir, replicaDirectory) }
 
-func (p *fleetProcess) runReplica(ctx context.Context) error {
-	ctx, end := context.WithCancel(ctx)
+// handOverTime is how long a planned stop waits until a learner votes in place of this
+// replica: some rounds between regions and syncs. It is a part of any usual grace.
+const handOverTime = 1500 * time.Millisecond
+
+func (p *fleetProcess) runReplica(stop context.Context) error {
+	ctx, end := context.WithCancel(context.WithoutCancel(stop))
 	defer end()
 	service := fleet.NewService(p.Logger, steady.Now, p.dialControl)
 	server, err := p.newReplica(ctx, func(r grpc.ServiceRegistrar) { api.RegisterFleetServer(r, service) })
@@ -105,6 +109,17 @@
 	}
 	var parts sync.WaitGroup
 	parts.Go(func() { service.Run(ctx) })
+	parts.Go(func() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-stop.Done():
+		}
+		handOver, cancel := context.WithTimeout(ctx, handOverTime)
+		defer cancel()
+		server.HandOver(handOver)
+		end()
+	})
 	parts.Go(func() { platform.WatchSettings(ctx, p.Settings, p.Reload, p.Logger, func(platform.Settings) {}) })
 	defer parts.Wait()
 	defer end()
