soak: service-wide failures and slowness, answers that end early, a control replica left behind

Cause: five of nine deliberate breaks of the product were not caught: the retry budget never used up (callers made too few repeats for its slack), answers that end early passed on as whole (no fault struck in the middle of an answer), refusals without a time to come back (few refusals), a state that is behind. Change: faults on all upstreams of a service (nine of ten requests fail, or each takes 0.5 s); upstreams that break off announced answers, some of them above what a daemon holds in memory; a control replica cut off from its group while configurations go on, which is then the only one that a daemon reaches. The budget of the soak is tighter (0.02, slack 4), and its requests are counted as callers and upstreams send them, with those of the route's time before the window. Break 6, an agent that takes an older state, is still not caught: the replica sends no older state to who holds a newer one, so callers see nothing of it.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -46,7 +46,7 @@
 		for _, k := range []requestKind{read, deep, write, upload} {
 			kind := map[requestKind]routing.Kind{write: routing.NonIdempotent, upload: routing.Upload}[k]
 			t.Routes = append(t.Routes, routing.Route{
-				Name: s + string(k[1:len(k)-1]), Host: s + ".example", Prefix: string(k), Kind: kind, Timeout: 1500 * time.Millisecond,
+				Name: s + string(k[1:len(k)-1]), Host: s + ".example", Prefix: string(k), Kind: kind, Timeout: requestTimeout,
 				Rank: rank % 3, MaxAttempts: 2, Targets: []routing.Target{{Service: s, Weight: 1}},
 			})
 		}
@@ -124,6 +124,7 @@
 	req.Header.Set(d.RequestID, id)
 	req.Header.Set(d.Deadline, "3000")
 	begun := time.Now()
+	c.w.judge.sends(service)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.broken(ctx, v, begun, id, err)
@@ -218,6 +219,7 @@
 	}
 	req.Host = "numbers.example"
 	req.Header.Set(platform.Dialect().RequestID, fmt.Sprint("number-", rand.Uint64()))
+	w.judge.sends(services[0])
 	resp, err := c.Do(req)
 	if err != nil {
 		return false, false
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -51,18 +51,29 @@
 	{"upstream left", onDaemons, func(w *striker, d time.Duration) { w.replaceUpstream(w.daemon(), d, (*upstream).drain) }},
 	{"upstream slow", onDaemons, func(w *striker, d time.Duration) {
 		u := w.daemon().upstream
-		w.with(u, func() { u.work = 400 * time.Millisecond }, d, func() { u.work = 20 * time.Millisecond })
+		w.with(u, func() { u.work = 400 * time.Millisecond }, d, func() { u.work = usualWork })
 	}},
 	{"upstream failing", onDaemons, func(w *striker, d time.Duration) {
 		u := w.daemon().upstream
 		w.with(u, func() { u.failing = 0.5 }, d, func() { u.failing = 0 })
 	}},
+	{"upstream cuts answers", onDaemons, func(w *striker, d time.Duration) {
+		u := w.daemon().upstream
+		w.with(u, func() { u.cutting = 0.5 }, d, func() { u.cutting = 0 })
+	}},
+	{"service failing", onDaemons, func(w *striker, d time.Duration) {
+		w.withService(func(u *upstream) { u.failing = 0.9 }, d, func(u *upstream) { u.failing = 0 })
+	}},
+	{"service slow", onDaemons, func(w *striker, d time.Duration) {
+		w.withService(func(u *upstream) { u.work = 500 * time.Millisecond }, d, func(u *upstream) { u.work = usualWork })
+	}},
 	{"links delayed", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkDelay) }},
 	{"links reset", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.anyVM(), d, linkReset) }},
 	{"links silent one way", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.daemon(), d, linkOneWay) }},
 	{"links silent", onDaemons, func(w *striker, d time.Duration) { w.disturbLinks(w.daemon(), d, linkCut) }},
 	{"control cut off", onControl, func(w *striker, d time.Duration) { w.disturbLinks(w.control(), d, linkCut) }},
 	{"control cut off one way", onControl, func(w *striker, d time.Duration) { w.disturbLinks(w.control(), d, linkOneWay) }},
+	{"control stale", onControl, func(w *striker, d time.Duration) { w.strand(w.control(), w.daemon(), d) }},
 	{"control stopped as planned", onControl, func(w *striker, _ time.Duration) { w.restart(w.control()) }},
 	{"control killed", onControl, func(w *striker, d time.Duration) { w.crash(w.control(), d) }},
 	{"control frozen", onControl, func(w *striker, d time.Duration) { w.freeze(w.control(), d) }},
@@ -252,6 +263,43 @@
 	change(end)
 }
 
+// withService changes all upstreams of a service for a time.
+func (w *striker) withService(begin func(*upstream), d time.Duration, end func(*upstream)) {
+	service := services[w.pick(len(services))]
+	var all sync.WaitGroup
+	for _, v := range w.daemons {
+		if v.settings.Service == service {
+			all.Go(func() { w.with(v.upstream, func() { begin(v.upstream) }, d, func() { end(v.upstream) }) })
+		}
+	}
+	all.Wait()
+}
+
+// strand cuts a replica off from all others while configurations go on, and leaves a
+// daemon no other replica at the end: it must not take over the older state.
+func (w *world) strand(c, daemon *vm, d time.Duration) {
+	cut := func(on bool, concerns func(a, b *vm) bool) {
+		for ends, proxies := range w.links {
+			if !concerns(ends[0], ends[1]) && !concerns(ends[1], ends[0]) {
+				continue
+			}
+			for _, p := range proxies {
+				p.Cut(on, on)
+			}
+		}
+	}
+	fromGroup := func(a, b *vm) bool { return a == c && b.upstream == nil }
+	fromOthers := func(a, b *vm) bool { return a == daemon && b.upstream == nil && b != c }
+	c.busy(func() {
+		cut(true, fromGroup)
+		time.Sleep(d)
+		cut(true, fromOthers)
+		time.Sleep(1500 * time.Millisecond)
+		cut(false, fromOthers)
+		cut(false, fromGroup)
+	})
+}
+
 type linkFault int
 
 const (
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -14,22 +14,18 @@
 	mu         sync.Mutex
 	violations []string
 
-	runs      map[string]int       // of requests that must run at most once, by id
-	refusedAt map[string]time.Time // such requests that were said not to have run
-	drainedAt map[string]time.Time // upstreams whose leaving was confirmed
-	arrivals  map[string][]arrival // by service
-	seen      map[string]bool      // requests that have arrived once
-	accepted  map[uint64]time.Time // configurations by the time of their confirmation
+	runs      map[string]int         // of requests that must run at most once, by id
+	refusedAt map[string]time.Time   // such requests that were said not to have run
+	drainedAt map[string]time.Time   // upstreams whose leaving was confirmed
+	asked     map[string][]time.Time // requests that callers and upstreams sent, by service
+	repeats   map[string][]time.Time // arrivals of requests that had arrived before, by service
+	seen      map[string]bool        // requests that have arrived once
+	accepted  map[uint64]time.Time   // configurations by the time of their confirmation
 	newest    uint64
 	outcomes  map[string]int // answers to callers
 	served    []sample
 }
 
-type arrival struct {
-	at     time.Time
-	repeat bool
-}
-
 type sample struct {
 	at time.Time
 	ok bool
@@ -37,8 +33,8 @@
 
 func newJudge() *judge {
 	return &judge{
-		runs: map[string]int{}, refusedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}, arrivals: map[string][]arrival{},
-		seen: map[string]bool{}, accepted: map[uint64]time.Time{}, outcomes: map[string]int{},
+		runs: map[string]int{}, refusedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{},
+		asked: map[string][]time.Time{}, repeats: map[string][]time.Time{}, seen: map[string]bool{}, accepted: map[uint64]time.Time{}, outcomes: map[string]int{},
 	}
 }
 
@@ -62,7 +58,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
-	j.arrivals[service] = append(j.arrivals[service], arrival{now, j.seen[request]})
+	if j.seen[request] {
+		j.repeats[service] = append(j.repeats[service], now)
+	}
 	j.seen[request] = true
 	if at, ok := j.drainedAt[upstream]; ok && now.Sub(at) > drainWithin {
 		j.violateLocked("draining: request %s reached %s %s after its leaving was confirmed", request, upstream, now.Sub(at))
@@ -79,6 +77,13 @@
 	}
 }
 
+// sends records that a request to a service is sent.
+func (j *judge) sends(service string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.asked[service] = append(j.asked[service], time.Now())
+}
+
 // refused records that a caller was told that a request has not run.
 func (j *judge) refused(request string, kind requestKind) {
 	j.mu.Lock()
@@ -134,36 +139,38 @@
 	return j.newest
 }
 
-// checkBudget checks that repeats stayed within the budget in each window. The
-// requests for a service are those that arrived at least once.
+// checkBudget checks that repeats stayed within the budget in each window that ends with
+// one. A request that was sent just before a window may be repeated in it.
 func (j *judge) checkBudget() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for service, list := range j.arrivals {
-		slices.SortFunc(list, func(a, b arrival) int { return a.at.Compare(b.at) })
-		first, requests, repeats := 0, 0, 0
-		for _, a := range list {
-			for a.at.Sub(list[first].at) > budgetSpan {
-				if list[first].repeat {
-					repeats--
-				} else {
-					requests--
-				}
-				first++
-			}
-			if a.repeat {
-				repeats++
-			} else {
-				requests++
-			}
-			if limit := budgetRatio*float64(requests) + budgetSlack; float64(repeats) > limit {
-				j.violateLocked("retry budget: %d repeats for %d requests to %s in %s", repeats, requests, service, budgetSpan)
+	for service, repeats := range j.repeats {
+		asked := j.asked[service]
+		slices.SortFunc(asked, time.Time.Compare)
+		slices.SortFunc(repeats, time.Time.Compare)
+		for i, end := range repeats {
+			begin := end.Add(-budgetSpan)
+			inWindow := i + 1 - firstAfter(repeats, begin)
+			requests := firstAfter(asked, end) - firstAfter(asked, begin.Add(-requestTimeout))
+			if float64(inWindow) > budgetRatio*float64(requests)+budgetSlack {
+				j.violateLocked("retry budget: %d repeats for %d requests to %s in %s", inWindow, requests, service, budgetSpan)
 				break
 			}
 		}
 	}
 }
 
+// firstAfter is the index of the first time after a limit.
+func firstAfter(times []time.Time, limit time.Time) int {
+	i, _ := slices.BinarySearchFunc(times, limit, func(t, limit time.Time) int {
+		if t.After(limit) {
+			return 1
+		}
+		return -1
+	})
+	return i
+}
+
 // servedSince returns the share of requests that were answered well after a time.
 func (j *judge) servedSince(t time.Time) (share float64, n int) {
 	j.mu.Lock()
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -16,7 +17,10 @@
 	"github.com/bilberrydeck/bilberrydeck/platform"
 )
 
-const upstreamSlots = 8
+const (
+	upstreamSlots = 8
+	usualWork     = 20 * time.Millisecond
+)
 
 // upstream is the emulated upstream beside a daemon. It runs requests, makes calls
 // of its own through the daemon and reports to it.
@@ -31,11 +35,12 @@
 	gone     bool
 	work     time.Duration
 	failing  float64 // share of requests that it fails
+	cutting  float64 // share of answers that end early
 	end      context.CancelFunc
 }
 
 func newUpstream(v *vm) *upstream {
-	u := &upstream{vm: v, work: 20 * time.Millisecond}
+	u := &upstream{vm: v, work: usualWork}
 	u.begin()
 	return u
 }
@@ -109,7 +114,11 @@
 // answerTo is the body that belongs to a request.
 func answerTo(id string, payload []byte) string {
 	sum := sha256.Sum256(append([]byte(id+"\n"), payload...))
-	return strings.Repeat(hex.EncodeToString(sum[:]), 1+int(sum[0])%8)
+	times := 1 + int(sum[0])%8
+	if sum[1] < 8 { // above what a daemon holds in memory
+		times = 20_000
+	}
+	return strings.Repeat(hex.EncodeToString(sum[:]), times)
 }
 
 // uploadWork is how much longer uploads take, so that planned stops find some under way.
@@ -118,7 +127,7 @@
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	d := platform.Dialect()
 	u.mu.Lock()
-	id, work, failing := u.id(), u.work, u.failing
+	id, work, failing, cutting := u.id(), u.work, u.failing, u.cutting
 	u.mu.Unlock()
 	w.Header().Set(d.Instance, id)
 	if r.URL.Path == healthPath {
@@ -142,11 +151,18 @@
 		work += uploadWork
 	}
 	time.Sleep(work)
-	if !u.call(r, request) || float64(len(request)*7919%100)/100 < failing {
+	if !u.call(r, request) || rand.Float64() < failing {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	_, _ = io.WriteString(w, answerTo(request, payload)) // the reader may be gone
+	answer := answerTo(request, payload)
+	if rand.Float64() < cutting {
+		w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+		_, _ = io.WriteString(w, answer[:len(answer)/2]) // the connection breaks in any case
+		_ = http.NewResponseController(w).Flush()        // as above
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, answer) // the reader may be gone
 }
 
 // call makes the call of the next service, through the daemon on the same VM.
@@ -168,6 +184,7 @@
 	req.Host = next + ".example"
 	req.Header.Set(d.RequestID, "call-of-"+request)
 	req.Header.Set(d.Deadline, "1000")
+	u.vm.w.judge.sends(next)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -27,10 +27,12 @@
 	grace       = 4 * time.Second
 	applyWithin = 2 * time.Second
 	drainWithin = 2 * time.Second
-	budgetRatio = 0.2
-	budgetSlack = 20
+	budgetRatio = 0.02
+	budgetSlack = 4
 	budgetSpan  = 10 * time.Second
 	reportEvery = 500 * time.Millisecond
+
+	requestTimeout = 1500 * time.Millisecond // of the routes
 )
 
 // Ports of each VM; VMs differ by their loopback address.
