forward: a test slows the clock without changing the running daemon's settings

Ruled out: a race in the product; the field is only written before the daemon runs. Change: the harness gives each daemon a clock whose delay is an atomic, set by the test. Conclusion: the refusal is still counted as an answer, as the test asserts.

--- a/forward/answers_test.go
+++ b/forward/answers_test.go
@@ -75,10 +75,7 @@
 	f := newFleet(t, ordersTable(), newUpstream(t, "i-1", nil))
 	d := f.daemons[0]
 	d.UpstreamLeft("i-1")
-	d.cfg.Now = func() time.Time {
-		time.Sleep(20 * time.Millisecond) // the client has left by the time that the answer is recorded
-		return testClock()
-	}
+	f.clockDelay.Store(int64(20 * time.Millisecond)) // the client has left by the time that the answer is recorded
 	resp, _ := f.send(0, sent{kind: routing.Idempotent})
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Eventually(t, func() bool { return strings.Contains(metricsOf(t, d), "bilberry_request_seconds_count 1") }, patience, time.Millisecond)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,6 +101,8 @@
 	stop    []context.CancelFunc
 	ended   []chan struct{}
 	table   *routing.Table
+
+	clockDelay atomic.Int64 // nanoseconds that each look at the clock takes
 }
 
 const testSlots = 4
@@ -113,11 +116,16 @@
 	return f
 }
 
+func (f *fleetOf) now() time.Time {
+	time.Sleep(time.Duration(f.clockDelay.Load()))
+	return testClock()
+}
+
 func (f *fleetOf) start(i int, u *upstream) {
 	d, err := New(context.Background(), Config{
 		EntranceAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", UpstreamAddress: u.address, Service: "orders",
 		Region: "north", AvailabilityZone: fmt.Sprint("zone-", i), Dialect: testDialect,
-		Retries: RetryLimits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, Grace: 400 * time.Millisecond, Now: testClock,
+		Retries: RetryLimits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, Grace: 400 * time.Millisecond, Now: f.now,
 	})
 	require.NoError(f.t, err)
 	_, d.cfg.PeerAddress = d.Addresses()
