logging: the decision log formats its own lines and writes them together

Cause: of the processor time of a daemon, an estimated 6% went into its decision log: each line was encoded as JSON, parsed again and converted to key=value, queued a second time and written with a call of its own. A process whose output nobody reads could wait for ever for its log at its end. Change: the writer of decisions appends key=value lines by itself and writes all that is queued with one call, past the queue of the other lines. Close gives a blocked output one second. The form of the lines is as before, which a test now spells out.

--- a/logging/bench_test.go
+++ b/logging/bench_test.go
@@ -26,9 +26,10 @@
 		}
 	})
 	b.Run("write", func(b *testing.B) {
-		d := &Decisions{logger: logger}
+		d := &Decisions{output: io.Discard}
 		for b.Loop() {
 			d.line(&v)
+			d.flush()
 		}
 	})
 }
--- a/logging/decisions.go
+++ b/logging/decisions.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"io"
 	"math"
 	"strconv"
 	"sync"
@@ -81,22 +82,26 @@
 // Decisions above the bounds are dropped and counted, because logging must not
 // delay requests or take their processor time.
 type Decisions struct {
-	logger  *Logger
+	logger  *Logger   // of lines on the log itself
+	output  io.Writer // where the lines of the logger go; the queue before it is this one's
 	queue   chan Decision
 	dropped [failure + 1]atomic.Uint64
 	stop    chan struct{}
 	stopped chan struct{}
 	once    sync.Once
 
-	began time.Time // of the present interval, owned by the writer
-	lines int       // in it
-	told  [failure + 1]uint64
+	// Owned by the writer:
+	pending []byte    // lines that are written together
+	began   time.Time // start of the present interval
+	count   int       // lines in it
+	told    [failure + 1]uint64
 }
 
 // NewDecisions starts the writer. Close ends it.
 func NewDecisions(logger *Logger, queue int) *Decisions {
 	d := &Decisions{
 		logger:  logger,
+		output:  outputOf(logger),
 		queue:   make(chan Decision, queue),
 		stop:    make(chan struct{}),
 		stopped: make(chan struct{}),
@@ -128,10 +133,17 @@
 	return total
 }
 
-// Close writes what is queued and ends the writer.
+// closeTime bounds the wait for the output of a process that ends.
+const closeTime = time.Second
+
+// Close writes what is queued and ends the writer. What a blocked output does not take
+// in closeTime is lost.
 func (d *Decisions) Close() {
 	d.once.Do(func() { close(d.stop) })
-	<-d.stopped
+	select {
+	case <-d.stopped:
+	case <-time.After(closeTime):
+	}
 }
 
 func (d *Decisions) write() {
@@ -142,10 +154,14 @@
 		select {
 		case decision := <-d.queue:
 			d.limited(&decision)
+			if len(d.queue) == 0 || len(d.pending) >= flushBytes {
+				d.flush()
+			}
 		case <-report.C:
 			d.reportDropped()
 		case <-d.stop:
 			d.drain()
+			d.flush()
 			d.reportDropped()
 			return
 		}
@@ -163,17 +179,28 @@
 	}
 }
 
+// flushBytes is the size from which on lines are written although more are queued.
+const flushBytes = 16 << 10
+
+// flush writes the pending lines with one call.
+func (d *Decisions) flush() {
+	if len(d.pending) > 0 {
+		_, _ = d.output.Write(d.pending) // nothing can be done about lines that cannot be written
+		d.pending = d.pending[:0]
+	}
+}
+
 // limited writes a decision unless the interval has had its lines.
 func (d *Decisions) limited(v *Decision) {
 	if now := time.Now(); now.Sub(d.began) >= lineInterval {
-		d.began, d.lines = now, 0
+		d.began, d.count = now, 0
 	}
 	i := v.importance()
-	if d.lines >= int(share[i]*linesPerInterval) {
+	if d.count >= int(share[i]*linesPerInterval) {
 		d.dropped[i].Add(1)
 		return
 	}
-	d.lines++
+	d.count++
 	d.line(v)
 }
 
@@ -191,46 +218,65 @@
 	d.told = now
 }
 
+// line appends a decision to the pending lines. It formats by itself, since a daemon
+// writes hundreds of these lines a second and few others.
 func (d *Decisions) line(v *Decision) {
-	e := d.logger.Info().Str("event", v.Event).Str("request", v.RequestID).Str("service", v.Service).Str("route", v.Route)
-	if v.Configuration != 0 {
-		e = e.Uint64("configuration", v.Configuration)
-	}
-	if v.Upstream != "" {
-		e = e.Str("upstream", v.Upstream)
-	}
-	if v.Tier != "" {
-		e = e.Str("tier", v.Tier).Int("usable", v.Usable)
+	d.pending = v.appendLine(d.pending, time.Now())
+}
+
+func (d *Decision) appendLine(buf []byte, now time.Time) []byte {
+	buf = append(now.AppendFormat(appendKey(buf, "time"), timeFormat), " level=info "...)
+	buf = appendPair(buf, "event", d.Event)
+	buf = appendPair(buf, "request", d.RequestID)
+	buf = appendPair(buf, "service", d.Service)
+	buf = appendPair(buf, "route", d.Route)
+	if d.Configuration != 0 {
+		buf = appendInt(buf, "configuration", int64(d.Configuration))
 	}
-	if v.Attempt != 0 {
-		e = e.Uint32("attempt", v.Attempt)
+	buf = appendPairIfSet(buf, "upstream", d.Upstream)
+	if d.Tier != "" {
+		buf = appendInt(appendPair(buf, "tier", d.Tier), "usable", int64(d.Usable))
 	}
-	e = e.Uint16("priority", v.Priority).Int("depth", v.Depth)
-	if v.Load.Known {
-		e = e.Str("load", v.Load.String()).Int64("load_age_ms", v.Load.Age.Milliseconds())
+	if d.Attempt != 0 {
+		buf = appendInt(buf, "attempt", int64(d.Attempt))
 	}
-	if v.Refused > 0 {
-		e = e.Float64("refused_part", v.Refused)
+	buf = appendInt(buf, "priority", int64(d.Priority))
+	buf = appendInt(buf, "depth", int64(d.Depth))
+	if d.Load.Known {
+		buf = append(d.Load.append(appendKey(buf, "load")), ' ')
+		buf = appendInt(buf, "load_age_ms", d.Load.Age.Milliseconds())
 	}
-	if v.Outcome != "" {
-		e = e.Str("outcome", v.Outcome)
+	if d.Refused > 0 {
+		buf = append(strconv.AppendFloat(appendKey(buf, "refused_part"), d.Refused, 'f', -1, 64), ' ')
 	}
-	if v.Reason != "" {
-		e = e.Str("reason", v.Reason)
+	buf = appendPairIfSet(buf, "outcome", d.Outcome)
+	buf = appendPairIfSet(buf, "reason", d.Reason)
+	if d.Status != 0 {
+		buf = appendInt(buf, "status", int64(d.Status))
 	}
-	if v.Status != 0 {
-		e = e.Int("status", v.Status)
+	if d.Remaining != NoDeadline {
+		buf = appendInt(buf, "remaining_ms", d.Remaining.Milliseconds())
 	}
-	if v.Remaining != NoDeadline {
-		e = e.Int64("remaining_ms", v.Remaining.Milliseconds())
+	buf = appendInt(buf, "elapsed_us", d.Elapsed.Microseconds())
+	buf[len(buf)-1] = '\n'
+	return buf
+}
+
+func appendInt(buf []byte, key string, value int64) []byte {
+	return append(strconv.AppendInt(appendKey(buf, key), value, 10), ' ')
+}
+
+func appendPairIfSet(buf []byte, key, value string) []byte {
+	if value == "" {
+		return buf
 	}
-	e.Int64("elapsed_us", v.Elapsed.Microseconds()).Msg("")
+	return appendPair(buf, key, value)
 }
 
-// String writes running/limit+waiting@level, as in 7/11+3@128.
-func (l Load) String() string {
-	buf := strconv.AppendInt(make([]byte, 0, 24), int64(l.InFlight), 10)
+// append writes running/limit+waiting@level, as in 7/11+3@128.
+func (l Load) append(buf []byte) []byte {
+	buf = strconv.AppendInt(buf, int64(l.InFlight), 10)
 	buf = strconv.AppendInt(append(buf, '/'), int64(l.Limit), 10)
 	buf = strconv.AppendInt(append(buf, '+'), int64(l.Queued), 10)
-	return string(strconv.AppendInt(append(buf, '@'), int64(l.Level), 10))
+	return strconv.AppendInt(append(buf, '@'), int64(l.Level), 10)
 }
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -5,7 +5,6 @@
 import (
 	"io"
 	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -17,11 +16,28 @@
 // New returns a logger that writes one key=value line per event to w. It is
 // safe for concurrent use if w is.
 func New(w io.Writer) *Logger {
-	return &log.Logger{
-		Level:      log.InfoLevel,
-		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer:     &log.ConsoleWriter{Formatter: writeKeyValues, Writer: w},
+	return newLogger(&log.ConsoleWriter{Formatter: writeKeyValues, Writer: w}, w)
+}
+
+// timeFormat is the form of times in all lines.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func newLogger(w log.Writer, output io.Writer) *Logger {
+	return &log.Logger{Level: log.InfoLevel, TimeFormat: timeFormat, Writer: &outputWriter{w, output}}
+}
+
+// outputWriter remembers where the lines of a logger go in the end.
+type outputWriter struct {
+	log.Writer
+	output io.Writer
+}
+
+// outputOf is where the lines of a logger go in the end.
+func outputOf(l *Logger) io.Writer {
+	if w, ok := l.Writer.(*outputWriter); ok {
+		return w.output
 	}
+	return io.Discard // a logger that this package has not made
 }
 
 var lines = sync.Pool{New: func() any { b := make([]byte, 0, 512); return &b }}
@@ -34,10 +50,8 @@
 // writes what is queued. It never blocks: lines that a slow reader leaves no room
 // for are dropped.
 func NewProcess(w io.Writer) (*Logger, func()) {
-	l := New(w)
-	queue := &log.AsyncWriter{ChannelSize: processQueue, DiscardOnFull: true, Writer: l.Writer}
-	l.Writer = queue
-	return l, func() { _ = queue.Close() } // nothing can be done about lines that cannot be written
+	queue := &log.AsyncWriter{ChannelSize: processQueue, DiscardOnFull: true, Writer: &log.ConsoleWriter{Formatter: writeKeyValues, Writer: w}}
+	return newLogger(queue, w), func() { _ = queue.Close() } // nothing can be done about lines that cannot be written
 }
 
 // writeKeyValues formats one event. The library's own logfmt formatter leaves
@@ -58,9 +72,13 @@
 	return w.Write(buf)
 }
 
+func appendKey(buf []byte, key string) []byte {
+	return append(append(buf, key...), '=')
+}
+
+// appendPair appends a field and a space.
 func appendPair(buf []byte, key, value string) []byte {
-	buf = append(buf, key...)
-	buf = append(buf, '=')
+	buf = appendKey(buf, key)
 	if needsQuotes(value) {
 		buf = strconv.AppendQuote(buf, value)
 	} else {
@@ -72,7 +90,10 @@
 // needsQuotes reports whether a value would break the key=value form. Callers
 // choose request ids and paths, so control characters must not start a line.
 func needsQuotes(value string) bool {
-	return value == "" || strings.ContainsFunc(value, func(r rune) bool {
-		return r <= ' ' || r == '"' || r == '=' || r == 0x7f || r > 0x7f
-	})
+	for i := range len(value) {
+		if c := value[i]; c <= ' ' || c == '"' || c == '=' || c >= 0x7f {
+			return true
+		}
+	}
+	return value == ""
 }
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -105,6 +106,16 @@
 	require.Positive(t, strings.Count(w.buf.String(), "event=line"))
 }
 
+// TestStopDoesNotWaitForItsLog guards the end of a process whose output nobody reads.
+func TestStopDoesNotWaitForItsLog(t *testing.T) {
+	w := &blockingWriter{entered: make(chan struct{}, 1), release: make(chan struct{})}
+	defer close(w.release)
+	d := NewDecisions(New(w), 10)
+	d.Record(Decision{Event: "route"})
+	<-w.entered
+	d.Close()
+}
+
 // TestTimeLeftIsToldOnlyIfKnown guards readers of a request that was refused before
 // its deadline was known.
 func TestTimeLeftIsToldOnlyIfKnown(t *testing.T) {
@@ -118,3 +129,57 @@
 	require.NotContains(t, lines[0], "remaining_ms")
 	require.Contains(t, lines[1], "remaining_ms=7 ")
 }
+
+// TestDecisionsKeepTheirForm guards readers of the decision log, explain among them: which
+// fields there are, in which order, and that no value breaks the form.
+func TestDecisionsKeepTheirForm(t *testing.T) {
+	now := time.Date(2026, 12, 4, 14, 0, 0, 5e6, time.UTC)
+	full := Decision{
+		Event: "route", RequestID: "a b=\n", Service: "orders", Route: "r1", Upstream: "i-1", Outcome: "not-run", Reason: "overload", Attempt: 2,
+		Priority: 300, Depth: 1, Status: 503, Configuration: 7, Tier: "region", Usable: 3, Refused: 0.25, Remaining: 1500 * time.Millisecond,
+		Load: Load{Known: true, Level: 128, Limit: 11, InFlight: 7, Queued: 3, Age: 40 * time.Millisecond}, Elapsed: 3 * time.Millisecond,
+	}
+	require.Equal(t, `time=2026-12-04T14:00:00.005Z level=info event=route request="a b=\n" service=orders route=r1 configuration=7 upstream=i-1 `+
+		`tier=region usable=3 attempt=2 priority=300 depth=1 load=7/11+3@128 load_age_ms=40 refused_part=0.25 outcome=not-run reason=overload `+
+		"status=503 remaining_ms=1500 elapsed_us=3000\n", string(full.appendLine(nil, now)))
+	bare := Decision{Event: "received", Remaining: NoDeadline}
+	require.Equal(t, `time=2026-12-04T14:00:00.005Z level=info event=received request="" service="" route="" priority=0 depth=0 elapsed_us=0`+"\n",
+		string(bare.appendLine(nil, now)))
+}
+
+// TestValuesKeepTheirForm guards readers of the other lines against values that the
+// conversion to key=value would change.
+func TestValuesKeepTheirForm(t *testing.T) {
+	var buf bytes.Buffer
+	l := New(&buf)
+	l.Warn().Str("empty", "").Str("quoted", `a "b" \c`).Str("high", "é").Strs("list", []string{"x,y", "]"}).
+		Float64("part", 0.25).Bool("main", true).Err(errors.New("broke: \t")).Dur("took", 1500*time.Millisecond).Msg("all = here")
+	_, line, _ := strings.Cut(buf.String(), " ")
+	require.Equal(t, `level=warn event="all = here" empty="" quoted="a \"b\" \\c" high="é" list="[\"x,y\",\"]\"]" `+
+		`part=0.25 main=true error="broke: \t" took=1500`+"\n", line)
+}
+
+// countingWriter counts calls.
+type countingWriter struct {
+	calls, lines int
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.calls++
+	w.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+// TestQueuedDecisionsAreWrittenTogether guards the processor time of a busy daemon: a
+// write for each line costs more than its formatting.
+func TestQueuedDecisionsAreWrittenTogether(t *testing.T) {
+	w := &countingWriter{}
+	d := &Decisions{logger: New(w), output: w, queue: make(chan Decision, 100), stop: make(chan struct{}), stopped: make(chan struct{})}
+	for range 20 {
+		d.Record(Decision{Event: "route"})
+	}
+	go d.write()
+	d.Close()
+	require.Equal(t, 20, w.lines)
+	require.LessOrEqual(t, w.calls, 2)
+}
