admit: missing answers are counted by route

Ruled out: the usual time being wrong after a change; it was right for the mixture. Change: answers are due by the usual time of their own route, which is an average of 50 answers; each answer also takes away a quarter of what is missing, since an upstream that answers all the time is at most slow. Nine answers are enough then, which notices a hang as soon as twelve did.

--- a/core/admit/health.go
+++ b/core/admit/health.go
@@ -17,15 +17,24 @@
 	// healthForget is the time constant with which faults are forgotten, so that an
 	// upstream that nobody calls is tried again.
 	healthForget = 5 * time.Second
-	// healthSamples is the number of answers after which the usual run time is known.
+	// healthSamples is the number of answers after which the usual run time of a route is
+	// known.
 	healthSamples = 20
+	// usualSamples is the number of answers that the usual run time is an average of. Times
+	// of runs vary much, and their average must not.
+	usualSamples = 50
+	// maxHealthRoutes bounds the routes that are told apart.
+	maxHealthRoutes = 256
 	// slowFactor is how much longer than usual runs may take: an upstream whose runs take
 	// twice as long is slow, which its callers see by their own time limits.
 	slowFactor = 2
 	// missedAnswers is the number of answers that are missing, by the number of runs and
 	// slowFactor times their usual time, from which on the upstream hangs. Runs of varying
 	// length miss a few by chance.
-	missedAnswers = 12
+	missedAnswers = 9
+	// missingKept is the part of the missing answers that stays when one comes, besides the
+	// one that came: an upstream that answers all the time is at most slow.
+	missingKept = 0.75
 	// maxMissing bounds the missing answers that are remembered, so that an upstream that
 	// answers again is soon used.
 	maxMissing = 1.5 * missedAnswers
@@ -69,66 +78,102 @@
 	state   HealthState
 	share   float64 // of faulty runs
 	shareAt time.Time
-	usual   time.Duration // run time of answered runs
-	samples int
-	running int
+	routes  map[string]*routeRuns
 	missing float64   // answers that should have come, less those that did
 	at      time.Time // up to when missing is counted
 	tried   time.Time // last run of an unhealthy upstream
 }
 
+// routeRuns are the runs of one route. Routes are told apart, since a few long runs among
+// many short ones would look like missing answers.
+type routeRuns struct {
+	usual   time.Duration // run time of answered runs
+	samples int
+	running int
+}
+
 // HealthReport is what Health goes by, for logs.
 type HealthReport struct {
 	State   HealthState
 	Share   float64 // of faulty runs
 	Missing float64 // answers that should have come, less those that did
 	Running int
-	Usual   time.Duration // usual run time
 }
 
 // Began notes the start of a run.
-func (h *Health) Began(now time.Time) {
+func (h *Health) Began(now time.Time, route string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.count(now)
-	h.running++
+	h.runsOf(route).running++
+}
+
+// runsOf returns the record of a route; routes above the bound share one.
+func (h *Health) runsOf(route string) *routeRuns {
+	if r := h.routes[route]; r != nil {
+		return r
+	}
+	if len(h.routes) >= maxHealthRoutes {
+		route = ""
+		if r := h.routes[route]; r != nil {
+			return r
+		}
+	}
+	if h.routes == nil {
+		h.routes = map[string]*routeRuns{}
+	}
+	r := &routeRuns{}
+	h.routes[route] = r
+	return r
 }
 
 // Ended notes the end of a run that took some time.
-func (h *Health) Ended(now time.Time, took time.Duration, v RunVerdict) {
+func (h *Health) Ended(now time.Time, route string, took time.Duration, v RunVerdict) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.count(now)
-	h.running--
+	runs := h.runsOf(route)
+	runs.running--
 	if v == RunUnsettled {
 		return
 	}
 	if h.state == Hanging {
 		h.missing /= 2 // a few answers to tries show a recovery
 	} else {
-		h.missing = max(h.missing-1, 0)
+		h.missing = max(h.missing*missingKept-1, 0)
 	}
 	fault := 0.0
 	if v == RunFaulty {
 		fault = 1
 	} else {
-		h.observe(took)
+		runs.observe(took)
 	}
 	h.share, h.shareAt = h.shareNow(now)*(1-healthWeight)+fault*healthWeight, now
 }
 
-func (h *Health) observe(took time.Duration) {
-	h.samples++
-	if h.samples == 1 {
-		h.usual = took
+func (r *routeRuns) observe(took time.Duration) {
+	r.samples++
+	if r.samples == 1 {
+		r.usual = took
 	}
-	h.usual += (took - h.usual) / healthSamples
+	r.usual += (took - r.usual) / usualSamples
+}
+
+// due is the rate at which answers should come at least, by the second.
+func (r *routeRuns) due() float64 {
+	if r.samples < healthSamples {
+		return 0
+	}
+	return float64(r.running) / (slowFactor * max(r.usual, time.Millisecond).Seconds())
 }
 
 // count adds the answers that should have come since the last event.
 func (h *Health) count(now time.Time) {
-	if d := now.Sub(h.at); d > 0 && h.samples >= healthSamples {
-		due := float64(h.running) * float64(d) / (slowFactor * float64(max(h.usual, time.Millisecond)))
+	if d := now.Sub(h.at); d > 0 {
+		due := 0.0
+		for _, r := range h.routes {
+			due += r.due() * d.Seconds()
+		}
 		h.missing = min(h.missing+due, maxMissing)
 	}
 	h.at = now
@@ -178,5 +223,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.judge(now)
-	return HealthReport{State: h.state, Share: h.shareNow(now), Missing: h.missing, Running: h.running, Usual: h.usual}
+	running := 0
+	for _, r := range h.routes {
+		running += r.running
+	}
+	return HealthReport{State: h.state, Share: h.shareNow(now), Missing: h.missing, Running: running}
 }
--- a/core/admit/health_test.go
+++ b/core/admit/health_test.go
@@ -19,13 +19,18 @@
 	mean    time.Duration
 	hangs   bool
 	faulty  float64
+	long    float64 // part of the runs that belong to a route with runs of longMean
 	ends    []runEnd
 	refused int
 	ran     int
 }
 
+// longMean is the mean time of the runs of the second route.
+const longMean = 900 * time.Millisecond
+
 type runEnd struct {
 	at      time.Time
+	route   string
 	took    time.Duration
 	verdict RunVerdict
 }
@@ -36,11 +41,10 @@
 
 // play lets time pass in steps of a millisecond.
 func (u *upstreamRuns) play(d time.Duration, spare bool) {
-	const limit = time.Second
 	for end := u.now.Add(d); u.now.Before(end); u.now = u.now.Add(time.Millisecond) {
 		for i := 0; i < len(u.ends); i++ {
 			if e := u.ends[i]; !e.at.After(u.now) {
-				u.health.Ended(u.now, e.took, e.verdict)
+				u.health.Ended(u.now, e.route, e.took, e.verdict)
 				u.ends = append(u.ends[:i], u.ends[i+1:]...)
 				i--
 			}
@@ -53,15 +57,19 @@
 			continue
 		}
 		u.ran++
-		u.health.Began(u.now)
-		took, verdict := time.Duration(float64(u.mean)*math.Exp(0.8*u.rng.NormFloat64()-0.32)), RunAnswered
+		route, mean, limit := "short", u.mean, time.Second
+		if u.long > 0 && u.rng.Float64() < u.long {
+			route, mean, limit = "long", longMean, 10*time.Second
+		}
+		u.health.Began(u.now, route)
+		took, verdict := time.Duration(float64(mean)*math.Exp(0.8*u.rng.NormFloat64()-0.32)), RunAnswered
 		switch {
 		case u.hangs || took > limit:
 			took, verdict = limit, RunUnsettled
 		case u.rng.Float64() < u.faulty:
 			verdict = RunFaulty
 		}
-		u.ends = append(u.ends, runEnd{u.now.Add(took), took, verdict})
+		u.ends = append(u.ends, runEnd{u.now.Add(took), route, took, verdict})
 	}
 }
 
@@ -93,6 +101,22 @@
 	}
 }
 
+// TestVaryingRunsAreNoHang guards upstreams whose runs vary much in length, with a route of
+// long runs beside one of short ones: neither looks like missing answers.
+func TestVaryingRunsAreNoHang(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, perS := range []float64{15, 50, 200} {
+			u := newUpstreamRuns(perS, 50*time.Millisecond)
+			u.rng = rand.New(rand.NewPCG(seed, 3))
+			u.long = 0.03
+			u.play(20*time.Second, true)
+			u.mean *= 2
+			u.play(5*time.Second, true)
+			require.Zero(t, u.refused, "seed %d, %v runs a second", seed, perS)
+		}
+	}
+}
+
 // TestQuietUpstreamIsHealthy guards upstreams that are seldom called, wait for calls of
 // their own, or have just started: silence alone is no sign of a fault.
 func TestQuietUpstreamIsHealthy(t *testing.T) {
@@ -130,8 +154,8 @@
 func TestTriesPreferWhatMayBeRepeated(t *testing.T) {
 	h, now := Health{}, time.Unix(1000, 0)
 	for range 40 {
-		h.Began(now)
-		h.Ended(now, time.Millisecond, RunFaulty)
+		h.Began(now, "r")
+		h.Ended(now, "r", time.Millisecond, RunFaulty)
 	}
 	require.True(t, h.Admits(now, true, true))
 	now = now.Add(tryRepeatable)
--- a/core/balance/health_test.go
+++ b/core/balance/health_test.go
@@ -89,7 +89,7 @@
 		s.attempt(b, append(tried, id))
 		return
 	}
-	gate.Began(s.now)
+	gate.Began(s.now, "r")
 	took := time.Duration(float64(simUsual) * math.Exp(0.5*s.rng.NormFloat64()-0.125))
 	r, verdict := Result{Latency: took, Route: "r"}, admit.RunAnswered
 	if s.bad[id] || took > simLimit {
@@ -98,7 +98,7 @@
 		r = Result{Latency: simLimit, Route: "r", Outcome: chain.Unknown, Reason: chain.ReasonDeadline, Missed: true}
 	}
 	s.after(took, func() {
-		gate.Ended(s.now, took, verdict)
+		gate.Ended(s.now, "r", took, verdict)
 		b.Done(s.now, c, r)
 	})
 }
--- a/forward/health.go
+++ b/forward/health.go
@@ -42,5 +42,5 @@
 	}
 	l.healthLogged = r.State
 	l.f.cfg.Logger.Warn().Str("upstream", l.current().ID).Str("health", r.State.String()).Float64("faulty_share", r.Share).
-		Float64("missing_answers", r.Missing).Int("running", r.Running).Dur("usual_run", r.Usual).Msg("upstream health changed")
+		Float64("missing_answers", r.Missing).Int("running", r.Running).Msg("upstream health changed")
 }
--- a/forward/local.go
+++ b/forward/local.go
@@ -246,7 +246,7 @@
 func (l *local) admitted(ctx context.Context, c *call) *result {
 	begun := l.f.cfg.Now()
 	health := l.health.Load()
-	health.Began(begun)
+	health.Began(begun, c.route)
 	limit := c.remaining(begun)
 	l.load.begin(c.repeat)
 	defer l.load.end(c.repeat)
@@ -262,7 +262,7 @@
 		r.failure.Deep = l.lastFailed.Load() >= begun.UnixNano()
 		r.failure.Full = l.lastFull.Load() >= begun.UnixNano()
 	}
-	health.Ended(begun.Add(took), took, runVerdict(r.failure, took, limit))
+	health.Ended(begun.Add(took), c.route, took, runVerdict(r.failure, took, limit))
 	l.f.metrics.ran(resultName(r.failure), took)
 	l.f.record(c, "ran", r.failure, l.f.cfg.Now(), took)
 	return r
