balance: a call leaves its availability zone for the risk of a late answer

Change: to stay in its zone a call must have the mean and three mean deviations left, to stay in its region one and a half.

--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -27,17 +27,22 @@
 // links are paid by the byte.
 const movableBytes = 8 << 10
 
-// attempts is the order in which tiers are tried. A cold or suspected upstream
-// is filled up to its declared slots before a call leaves the region.
-var attempts = [...]struct {
+// attempt is a tier with the conditions under which its upstreams are taken.
+type attempt struct {
 	tier   Tier
-	scaled bool // slots are scaled by trust
-}{
-	{SameAvailabilityZone, true},
-	{SameRegion, true},
-	{SameAvailabilityZone, false},
-	{SameRegion, false},
-	{OtherRegion, true},
+	scaled bool    // slots are scaled by trust
+	spread float64 // mean deviations above the mean latency of a route that a call must have left
+}
+
+// attempts is the order in which tiers are tried. A cold or suspected upstream
+// is filled up to its declared slots before a call leaves the region, and a risk
+// of a late answer is taken that another availability zone would spare.
+var attempts = [...]attempt{
+	{SameAvailabilityZone, true, zoneSpread},
+	{SameRegion, true, zoneSpread},
+	{SameAvailabilityZone, false, regionSpread},
+	{SameRegion, false, regionSpread},
+	{OtherRegion, true, regionSpread},
 }
 
 // pickWithRoom takes the nearest tier with an upstream that is neither ejected nor
@@ -45,13 +50,13 @@
 // none, it takes the nearest one with room.
 func (b *Balancer) pickWithRoom(now time.Time, r Request) (Choice, bool) {
 	avoid := b.avoidsUnhealthy(now)
-	hasRoom := func(m *member, scaled bool) bool {
-		return !m.ejected(now) && !(avoid && m.unhealthy(now)) && !m.saturated(now, r.Priority, b.slots(now, m, scaled))
+	hasRoom := func(m *member, a attempt) bool {
+		return !m.ejected(now) && !(avoid && m.unhealthy(now)) && !m.saturated(now, r.Priority, b.slots(now, m, a.scaled))
 	}
 	if r.Bytes <= movableBytes {
 		picky := b.avoidsFaulty(now)
-		serves := func(m *member, scaled bool) bool {
-			return hasRoom(m, scaled) && m.canMeet(now, r) && (!picky || m.reliable(now))
+		serves := func(m *member, a attempt) bool {
+			return hasRoom(m, a) && m.canMeet(now, r, a.spread) && (!picky || m.reliable(now))
 		}
 		if c, ok := b.pickNearest(now, r, serves); ok {
 			return c, true
@@ -61,9 +66,9 @@
 }
 
 // pickNearest takes an upstream of the nearest tier that has one that is accepted by ok.
-func (b *Balancer) pickNearest(now time.Time, r Request, ok func(m *member, scaled bool) bool) (Choice, bool) {
+func (b *Balancer) pickNearest(now time.Time, r Request, ok func(*member, attempt) bool) (Choice, bool) {
 	for _, a := range attempts {
-		candidates := b.candidates(a.tier, r, func(m *member) bool { return ok(m, a.scaled) })
+		candidates := b.candidates(a.tier, r, func(m *member) bool { return ok(m, a) })
 		if c, found := b.choose(now, r, candidates); found {
 			return c, true
 		}
--- a/core/balance/routes.go
+++ b/core/balance/routes.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// spreadMargin is the number of mean deviations above the mean latency of a route
-	// that a call must have left: about four of five calls take less.
-	spreadMargin = 1
+	// zoneSpread and regionSpread are the numbers of mean deviations above the mean latency
+	// of a route that a call must have left to stay in its availability zone and in its
+	// region. More than three deviations are rare; with one and a half about one call in
+	// ten is late, since links between regions are slow and paid by the byte.
+	zoneSpread   = 3
+	regionSpread = 1.5
 	// missedFactor estimates how long a call would have taken that was given up, as a
 	// multiple of the time for which it was waited.
 	missedFactor = 1.5
@@ -83,21 +86,21 @@
 
 // canMeet reports whether the upstream is likely to answer a call in the time that
 // is left for it. One that answered no such call lately is given a try.
-func (m *member) canMeet(now time.Time, r Request) bool {
+func (m *member) canMeet(now time.Time, r Request, spread float64) bool {
 	l := m.routes[r.Route]
 	if l == nil || r.Remaining <= 0 {
 		return true
 	}
-	return l.need() <= r.Remaining.Seconds() || now.Sub(later(l.at, l.tried)) >= tryAfter
+	return l.need(spread) <= r.Remaining.Seconds() || now.Sub(later(l.at, l.tried)) >= tryAfter
 }
 
-// need is the time that most calls take.
-func (l *routeLatency) need() float64 { return l.mean + spreadMargin*l.deviation }
+// need is the time that most calls take: the mean and some mean deviations.
+func (l *routeLatency) need(spread float64) float64 { return l.mean + spread*l.deviation }
 
 // noteTry makes sure that an upstream that is given a try gets one call, and not all
 // that come before its answer.
 func (m *member) noteTry(now time.Time, r Request) {
-	if l := m.routes[r.Route]; l != nil && r.Remaining > 0 && l.need() > r.Remaining.Seconds() {
+	if l := m.routes[r.Route]; l != nil && r.Remaining > 0 && l.need(regionSpread) > r.Remaining.Seconds() {
 		l.tried = now
 	}
 }
--- a/core/balance/routes_test.go
+++ b/core/balance/routes_test.go
@@ -63,6 +63,31 @@
 	require.Equal(t, SameAvailabilityZone, c.Tier, "what is not called is no longer known to be slow")
 }
 
+// TestRiskOfLateAnswers guards calls that most, but not all, of the answers nearby would
+// reach in time: they go to a faster upstream of their region, and do not leave it.
+func TestRiskOfLateAnswers(t *testing.T) {
+	for region, tier := range map[string]Tier{"west": SameRegion, "east": SameAvailabilityZone} {
+		b := New(Config{Region: "west", AvailabilityZone: "w1", Links: NewLinks(LinksConfig{BytesPerSecond: 1 << 20}), Seed: 1})
+		b.SetUpstreams(epoch, []Upstream{
+			{ID: "near", Region: "west", AvailabilityZone: "w1", Slots: 100},
+			{ID: "other", Region: region, AvailabilityZone: "x", Slots: 100},
+		})
+		for i := range 200 {
+			near := 400*time.Millisecond + time.Duration(i%2*2-1)*100*time.Millisecond
+			for id, latency := range map[string]time.Duration{"near": near, "other": 100 * time.Millisecond} {
+				b.byID[id].inFlight++
+				b.Done(epoch, Choice{member: b.byID[id], Upstream: b.byID[id].up}, Result{Latency: latency, Route: "r"})
+			}
+		}
+		c, f := b.Pick(epoch, Request{Route: "r", Remaining: 650 * time.Millisecond})
+		require.Nil(t, f)
+		require.Equal(t, tier, c.Tier, region)
+		c, f = b.Pick(epoch, Request{Route: "r", Remaining: time.Second})
+		require.Nil(t, f)
+		require.Equal(t, SameAvailabilityZone, c.Tier, "there is time enough")
+	}
+}
+
 // TestRequestsEndInTime plays requests of 1 s whose own work takes a random time
 // before they call a service that is slow nearby: a quarter of the calls that would be
 // late are in time if the time left counts, and few leave the region for it.
