logging: decisions are written at intervals, with the time at which they were made

Change: the writer wakes every 20 ms and takes all that is queued; a decision carries the time at which it was made. Kept for fewer wake-ups.

--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -42,7 +42,7 @@
 	seen []*http.Request
 }
 
-func newUpstream(t *testing.T, id string, handle func(*http.Request, net.Conn)) *upstream {
+func newUpstream(t testing.TB, id string, handle func(*http.Request, net.Conn)) *upstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	u := &upstream{id: id, address: l.Addr().String(), handle: handle}
@@ -96,7 +96,7 @@
 // fleetOf runs one daemon beside each upstream, all for one service in different
 // availability zones of a region.
 type fleetOf struct {
-	t       *testing.T
+	t       testing.TB
 	daemons []*Forwarder
 	stop    []context.CancelFunc
 	ended   []chan struct{}
@@ -107,7 +107,7 @@
 
 const testSlots = 4
 
-func newFleet(t *testing.T, table *routing.Table, upstreams ...*upstream) *fleetOf {
+func newFleet(t testing.TB, table *routing.Table, upstreams ...*upstream) *fleetOf {
 	f := &fleetOf{t: t, table: table}
 	for i, u := range upstreams {
 		f.start(i, u)
--- a/logging/decisions.go
+++ b/logging/decisions.go
@@ -29,6 +29,8 @@
 	Load          Load          // of the gate that decided, or that was chosen
 	Remaining     time.Duration // before the deadline; NoDeadline if none is known yet
 	Elapsed       time.Duration // since the request arrived at this process
+
+	at time.Time // when it was recorded
 }
 
 // NoDeadline stands for the time left of a request without a deadline.
@@ -65,13 +67,18 @@
 
 const (
 	// DefaultQueue is the number of decisions that may wait for the writer. It
-	// covers about a tenth of a second at the request rate of one daemon's core.
+	// covers about a tenth of a second at the request rate of one daemon's core,
+	// several intervals of the writer.
 	DefaultQueue = 4096
 	// linesPerInterval bounds the lines of one interval: 2,000 a second, several
 	// times what a daemon writes at the users' heaviest load, and a few percent of
 	// a core.
 	linesPerInterval = 200
 	lineInterval     = 100 * time.Millisecond
+	// writeEvery is the interval of writes. A killed process loses the decisions of one.
+	writeEvery = 20 * time.Millisecond
+	// flushBytes is the size from which on lines are written although more are queued.
+	flushBytes = 16 << 10
 )
 
 // share is the part of a bound up to which decisions of an importance are
@@ -117,6 +124,7 @@
 		d.dropped[i].Add(1)
 		return
 	}
+	decision.at = time.Now()
 	select {
 	case d.queue <- decision:
 	default:
@@ -146,42 +154,44 @@
 	}
 }
 
+// write takes what is queued at intervals and not one by one, since each wake-up of the
+// writer would cost as much as several lines.
 func (d *Decisions) write() {
 	defer close(d.stopped)
+	turn := time.NewTicker(writeEvery)
+	defer turn.Stop()
 	report := time.NewTicker(time.Second)
 	defer report.Stop()
 	for {
 		select {
-		case decision := <-d.queue:
-			d.limited(&decision)
-			if len(d.queue) == 0 || len(d.pending) >= flushBytes {
-				d.flush()
-			}
+		case <-turn.C:
+			d.drain(d.limited)
 		case <-report.C:
 			d.reportDropped()
 		case <-d.stop:
-			d.drain()
-			d.flush()
+			d.drain(d.line)
 			d.reportDropped()
 			return
 		}
 	}
 }
 
-func (d *Decisions) drain() {
+// drain writes the queued decisions.
+func (d *Decisions) drain(write func(*Decision)) {
+	defer d.flush()
 	for {
 		select {
 		case decision := <-d.queue:
-			d.line(&decision)
+			write(&decision)
 		default:
 			return
 		}
+		if len(d.pending) >= flushBytes {
+			d.flush()
+		}
 	}
 }
 
-// flushBytes is the size from which on lines are written although more are queued.
-const flushBytes = 16 << 10
-
 // flush writes the pending lines with one call.
 func (d *Decisions) flush() {
 	if len(d.pending) > 0 {
@@ -221,11 +231,11 @@
 // line appends a decision to the pending lines. It formats by itself, since a daemon
 // writes hundreds of these lines a second and few others.
 func (d *Decisions) line(v *Decision) {
-	d.pending = v.appendLine(d.pending, time.Now())
+	d.pending = v.appendLine(d.pending)
 }
 
-func (d *Decision) appendLine(buf []byte, now time.Time) []byte {
-	buf = append(now.AppendFormat(appendKey(buf, "time"), timeFormat), " level=info "...)
+func (d *Decision) appendLine(buf []byte) []byte {
+	buf = append(d.at.AppendFormat(appendKey(buf, "time"), timeFormat), " level=info "...)
 	buf = appendPair(buf, "event", d.Event)
 	buf = appendPair(buf, "request", d.RequestID)
 	buf = appendPair(buf, "service", d.Service)
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -138,13 +138,14 @@
 		Event: "route", RequestID: "a b=\n", Service: "orders", Route: "r1", Upstream: "i-1", Outcome: "not-run", Reason: "overload", Attempt: 2,
 		Priority: 300, Depth: 1, Status: 503, Configuration: 7, Tier: "region", Usable: 3, Refused: 0.25, Remaining: 1500 * time.Millisecond,
 		Load: Load{Known: true, Level: 128, Limit: 11, InFlight: 7, Queued: 3, Age: 40 * time.Millisecond}, Elapsed: 3 * time.Millisecond,
+		at: now,
 	}
 	require.Equal(t, `time=2026-12-04T14:00:00.005Z level=info event=route request="a b=\n" service=orders route=r1 configuration=7 upstream=i-1 `+
 		`tier=region usable=3 attempt=2 priority=300 depth=1 load=7/11+3@128 load_age_ms=40 refused_part=0.25 outcome=not-run reason=overload `+
-		"status=503 remaining_ms=1500 elapsed_us=3000\n", string(full.appendLine(nil, now)))
-	bare := Decision{Event: "received", Remaining: NoDeadline}
+		"status=503 remaining_ms=1500 elapsed_us=3000\n", string(full.appendLine(nil)))
+	bare := Decision{Event: "received", Remaining: NoDeadline, at: now}
 	require.Equal(t, `time=2026-12-04T14:00:00.005Z level=info event=received request="" service="" route="" priority=0 depth=0 elapsed_us=0`+"\n",
-		string(bare.appendLine(nil, now)))
+		string(bare.appendLine(nil)))
 }
 
 // TestValuesKeepTheirForm guards readers of the other lines against values that the
@@ -170,6 +171,21 @@
 	return len(p), nil
 }
 
+// TestLinesTellWhenDecisionsWereMade guards readers of several logs against lines that
+// carry the time of a later write.
+func TestLinesTellWhenDecisionsWereMade(t *testing.T) {
+	var buf bytes.Buffer
+	d := &Decisions{logger: New(&buf), output: &buf, queue: make(chan Decision, 1)}
+	d.Record(Decision{Event: "route"})
+	made := time.Now()
+	time.Sleep(5 * time.Millisecond)
+	d.drain(d.line)
+	stamp, _, _ := strings.Cut(strings.TrimPrefix(buf.String(), "time="), " ")
+	at, err := time.Parse(timeFormat, stamp)
+	require.NoError(t, err)
+	require.False(t, at.After(made))
+}
+
 // TestQueuedDecisionsAreWrittenTogether guards the processor time of a busy daemon: a
 // write for each line costs more than its formatting.
 func TestQueuedDecisionsAreWrittenTogether(t *testing.T) {
