lineage, forward: calls have the priority of the request that made them

Both lead to calls on the same internal routes, which gates could not tell apart, and each call of a request got a verdict of its own. Change: core/lineage assigns calls to the requests that the local upstream runs: by equal time limits, by the answer just before, and for first calls with a limit of their own by the usual time until the first call. Calls take over priority and the probability of being a repeat, the log names the parent, explain follows it. It replaces admit.Sequences. The test of the order of calls is as before, on the new type.

--- a/core/admit/throttle_test.go
+++ b/core/admit/throttle_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/lineage"
 )
 
 // chainScenario plays requests at several entrances, each of which needs a deep
@@ -16,7 +17,8 @@
 // its request.
 type chainScenario struct {
 	throttled bool
-	sequenced bool    // later calls go first, as far as times tell which are
+	sequenced bool    // later calls go first, as far as it is known which are
+	inherited bool    // calls have the priority of their request, as far as that is known
 	calls     int     // of each request
 	load      float64 // requests, as a part of those that the deep service can serve
 
@@ -27,7 +29,7 @@
 	nextID uint64
 
 	throttles []*Throttle
-	sequences []*Sequences // of the daemons beside the upstreams that make the calls
+	callers   []*lineage.Running // of the daemons beside the upstreams that make the calls
 	gates     []*Gate
 	waiting   map[uint64]func(refused bool)
 
@@ -44,6 +46,11 @@
 	wholeShare = 0.75
 	// nextCallAfter is how long a run takes to make its next call.
 	nextCallAfter = 300 * time.Microsecond
+	// requestTime is the time that a request has, callTime that of a call.
+	requestTime = 1500 * time.Millisecond
+	callTime    = 700 * time.Millisecond
+	// leadTime is how long a run works until its first call.
+	leadTime = 13 * time.Millisecond
 	// chainSettled is from when on requests count.
 	chainSettled = 4 * time.Second
 )
@@ -66,7 +73,7 @@
 		s.throttles = append(s.throttles, &Throttle{})
 	}
 	for range chainGates {
-		s.sequences = append(s.sequences, &Sequences{})
+		s.callers = append(s.callers, &lineage.Running{})
 		g := New(Config{Slots: chainSlots, Fixed: true, MaxQueue: 8 * chainSlots})
 		s.gates = append(s.gates, g)
 		s.at(0, func() { s.tick(g) })
@@ -99,46 +106,63 @@
 	// One throttle for each class, as each route has its own.
 	t := s.throttles[s.rng.IntN(len(s.throttles)/2)*2+int(class)/2]
 	if !s.throttled || t.Admits(s.now, priority) {
-		s.call(s.sequences[s.rng.IntN(chainGates)], s.calls, func(ok bool) {
-			if !ok {
-				t.Ended(s.now, &chain.Failure{Outcome: chain.Failed, Reason: chain.ReasonHandlerError, Deep: true, Full: true})
-				return
-			}
-			t.Ended(s.now, nil)
-			if counts {
-				s.served[class]++
-			}
+		from := s.callers[s.rng.IntN(chainGates)]
+		origin := &lineage.Request{Route: "caller", Deadline: s.now.Add(s.lasting(requestTime)), Priority: priority, Began: s.now}
+		from.Begin(origin)
+		s.at(s.lasting(leadTime), func() {
+			s.call(from, origin, s.calls, func(ok bool) {
+				from.End(origin)
+				if !ok {
+					t.Ended(s.now, &chain.Failure{Outcome: chain.Failed, Reason: chain.ReasonHandlerError, Deep: true, Full: true})
+					return
+				}
+				t.Ended(s.now, nil)
+				if counts {
+					s.served[class]++
+				}
+			})
 		})
 	}
 	s.at(time.Duration(s.rng.ExpFloat64()/(s.load*s.capacity())*float64(time.Second)), s.arrive)
 }
 
+// lasting is a random time, up to a half shorter or longer.
+func (s *chainScenario) lasting(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.5 + s.rng.Float64()))
+}
+
 // call makes the calls of a request, which all have ids of their own.
-func (s *chainScenario) call(from *Sequences, left int, done func(ok bool)) {
+func (s *chainScenario) call(from *lineage.Running, origin *lineage.Request, left int, done func(ok bool)) {
 	if left == 0 {
 		done(true)
 		return
 	}
 	s.nextID++
 	id, g := s.nextID, s.gates[s.rng.IntN(len(s.gates))]
+	wait := min(origin.Deadline.Sub(s.now), time.Duration(float64(callTime)*(0.85+0.15*s.rng.Float64()))).Truncate(time.Millisecond)
+	found := from.Find(s.now, "r", wait)
 	s.waiting[id] = func(refused bool) {
 		if refused {
+			from.Ended(s.now, "r", found, false)
 			done(false)
 			return
 		}
-		s.at(time.Duration(float64(chainService)*(0.5+s.rng.Float64())), func() {
+		s.at(s.lasting(chainService), func() {
 			s.apply(g, g.Finish(s.now, id, Result{OK: true}))
-			from.Answered(s.now, "r")
-			s.at(nextCallAfter, func() { s.call(from, left-1, done) })
+			from.Ended(s.now, "r", found, true)
+			s.at(nextCallAfter, func() { s.call(from, origin, left-1, done) })
 		})
 	}
 	priority := chain.Default.MinPriority() + chain.Priority(s.rng.IntN(128))
-	if follows := from.Follows(s.now, "r"); s.sequenced && follows {
+	if s.inherited && found.Request != nil {
+		priority = found.Request.Priority.AtLeast(chain.Default)
+	}
+	if s.sequenced && found.Later {
 		priority = priority.Upper()
 	} else if s.sequenced {
 		priority = priority.Lower()
 	}
-	s.apply(g, g.Arrive(s.now, Request{ID: id, Priority: priority, Deadline: s.now.Add(700 * time.Millisecond), Route: "r"}))
+	s.apply(g, g.Arrive(s.now, Request{ID: id, Priority: priority, Deadline: s.now.Add(wait), Route: "r"}))
 }
 
 func (s *chainScenario) apply(_ *Gate, actions []Action) {
--- a/core/chain/chain.go
+++ b/core/chain/chain.go
@@ -83,6 +83,13 @@
 	return p.Class().MinPriority() + (p&(size-1))*(upperShare-1)/upperShare
 }
 
+// AtLeast is the priority in a class that is not below the given one, at the same place
+// within it.
+func (p Priority) AtLeast(class Class) Priority {
+	const size = 1 << subPriorityBits
+	return max(p.Class(), class).MinPriority() + p&(size-1)
+}
+
 // Class returns the class part of the priority.
 func (p Priority) Class() Class { return Class(p >> subPriorityBits) }
 
--- /dev/null
+++ b/core/lineage/lineage.go
@@ -0,0 +1,315 @@
+// Package lineage tells which request of the local upstream a call belongs to. Upstreams
+// copy no header from a request to the calls that they make for it, and calls have ids of
+// their own. But a call ends at the time limit of its request at the latest, so a call whose
+// limit is that of a running request belongs to it; later calls follow the answer to the
+// one before; and a first call belongs to a request that has made none yet.
+//
+// It answers overload of a deep service that a request needs several times: gates that know
+// the request can refuse the calls of unimportant ones, and all or none of each. What it
+// finds is a guess, and a wrong one costs a request the place of another.
+//
+// Time is passed in. All types are safe for concurrent use.
+package lineage
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/chain"
+)
+
+const (
+	// early and late bound the difference between the time limits of a request and of its
+	// call: limits travel in whole milliseconds, and a call may wait for the processor
+	// before it is read. Only earlier ones tell that a route is one of calls, since a
+	// client's request that comes soon after another has a somewhat later limit.
+	early = 4 * time.Millisecond
+	late  = 8 * time.Millisecond
+	// usualDifference is what rounding makes of it.
+	usualDifference = time.Millisecond
+	// followTime is how soon after the answer to a call the next one of the same request
+	// comes: the upstream and the daemon are on one VM.
+	followTime = 2 * time.Millisecond
+	// callShare is the part of the requests on a route that must have the time limit of a
+	// running request, or follow an answer, for the route to count as one of calls. Of
+	// clients' requests few do, by chance.
+	callShare = 0.5
+	// callSamples is the number of requests after which a route is judged.
+	callSamples = 8
+	// callerShare is the part of the calls found by their time limits that a kind of request
+	// must have made to count as one that makes such calls. By chance others have made some.
+	callerShare = 0.25
+	// maxLead is how many times the usual time a request may take until its first call.
+	maxLead = 8
+	// minLead is the shortest time until a first call that is told apart.
+	minLead = time.Millisecond
+	// leadSamples is the number of requests that the usual time is an average of.
+	leadSamples = 20
+	// memory bounds the requests of a route that count, so that a changed use is noticed.
+	memory = 500
+	// maxRoutes bounds the routes that are remembered.
+	maxRoutes = 1024
+)
+
+// Request is a request that the local upstream runs. Its fields do not change.
+type Request struct {
+	ID       string
+	Route    string
+	Deadline time.Time // time limit, as the upstream was told
+	Priority chain.Priority
+	Repeat   float64 // probability that it repeats work
+	Began    time.Time
+
+	// Guarded by the mutex of Running:
+	calls      int // made so far
+	open       int // of these, without an answer
+	answeredAt time.Time
+}
+
+// Running knows the requests that the local upstream runs. The zero value is ready for use.
+type Running struct {
+	mu       sync.Mutex
+	requests []*Request      // in the order of their starts
+	uses     map[string]*use // by route
+}
+
+// use is what is known of the requests on a route.
+type use struct {
+	requests float64
+	linked   float64            // with the time limit of a running request, or after an answer
+	byRoute  map[string]*caller // by the route of the running request
+	answered []time.Time        // answers that nothing has followed yet, oldest first
+}
+
+// caller is what is known of the requests of one route as those that make calls on another.
+type caller struct {
+	found float64       // calls found by their time limits
+	lead  time.Duration // usual time until the first call, 0 if not known
+}
+
+// byCalls reports whether the route is one of calls.
+func (u *use) byCalls() bool {
+	return u.requests >= callSamples && u.linked >= callShare*u.requests
+}
+
+// makes reports whether requests of a route are known to make calls on this one.
+func (u *use) makes(route string) bool {
+	found := 0.0
+	for _, c := range u.byRoute {
+		found += c.found
+	}
+	c := u.byRoute[route]
+	return c != nil && c.found > callerShare*found
+}
+
+// follows reports whether a request follows an answer, the newest that nothing has followed.
+func (u *use) follows(now time.Time) bool {
+	for len(u.answered) > 0 && now.Sub(u.answered[0]) > followTime {
+		u.answered = u.answered[1:]
+	}
+	n := len(u.answered)
+	if n == 0 {
+		return false
+	}
+	u.answered = u.answered[:n-1]
+	return true
+}
+
+// learn counts a request with a time limit, found in a running request or not.
+func (u *use) learn(found *Request, limit time.Time, follows bool) {
+	found = found.ifEndsAfter(limit)
+	u.requests++
+	if found != nil || follows {
+		u.linked++
+	}
+	if found != nil {
+		u.caller(found.Route).found++
+	}
+	if u.requests < memory {
+		return
+	}
+	u.requests, u.linked = u.requests/2, u.linked/2
+	for _, c := range u.byRoute {
+		c.found /= 2
+	}
+}
+
+func (u *use) caller(route string) *caller {
+	c := u.byRoute[route]
+	if c == nil {
+		c = &caller{}
+		u.byRoute[route] = c
+	}
+	return c
+}
+
+// Begin notes that the upstream gets a request. End must follow.
+func (r *Running) Begin(q *Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, q)
+}
+
+// End notes that a request has ended.
+func (r *Running) End(q *Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := slices.Index(r.requests, q); i >= 0 {
+		r.requests = slices.Delete(r.requests, i, i+1)
+	}
+}
+
+// Call is what is known of the origin of a request at the entrance.
+type Call struct {
+	Request *Request // that made it, nil if that is not known
+	Later   bool     // it follows the answer to another call
+}
+
+// Find tells where a request may have come from that waits for some time more. Ended must
+// follow.
+func (r *Running) Find(now time.Time, route string, wait time.Duration) Call {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := r.use(route)
+	limit, follows := now.Add(wait), u.follows(now)
+	q := r.byDeadline(limit)
+	u.learn(q, limit, follows)
+	if !u.byCalls() {
+		return Call{}
+	}
+	if q == nil && follows {
+		q = r.byAnswer(now, limit, u)
+	}
+	if q == nil && !follows {
+		q = r.first(now, limit, u)
+	}
+	if q == nil {
+		return Call{Later: follows}
+	}
+	q.calls++
+	q.open++
+	return Call{Request: q, Later: follows}
+}
+
+// Ended notes the end of a request on a route, with a good answer or without.
+func (r *Running) Ended(now time.Time, route string, c Call, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered {
+		u := r.use(route)
+		u.answered = append(u.answered, now)
+	}
+	if c.Request != nil {
+		c.Request.open--
+		c.Request.answeredAt = now
+	}
+}
+
+// byDeadline returns the request whose time limit is nearest to that of a call.
+func (r *Running) byDeadline(limit time.Time) *Request {
+	var found *Request
+	best := time.Duration(0)
+	for _, q := range r.requests {
+		d := q.Deadline.Sub(limit)
+		if d < -late || d > early {
+			continue
+		}
+		if d = (d - usualDifference).Abs(); found == nil || d < best {
+			found, best = q, d
+		}
+	}
+	return found
+}
+
+// byAnswer returns the request that got the answer to a call last, just before this one.
+func (r *Running) byAnswer(now, limit time.Time, u *use) *Request {
+	var found *Request
+	for _, q := range r.requests {
+		if q.calls == 0 || q.open > 0 || now.Sub(q.answeredAt) > followTime || !q.mayCall(limit, u) {
+			continue
+		}
+		if found == nil || q.answeredAt.After(found.answeredAt) {
+			found = q
+		}
+	}
+	return found
+}
+
+// first returns the request without a call whose time so far is nearest to the usual one
+// until the first call. Those that have run for much longer have probably made calls that
+// were not found.
+func (r *Running) first(now, limit time.Time, u *use) *Request {
+	var newest *Request
+	for _, q := range r.requests {
+		if q.calls == 0 && q.mayCall(limit, u) {
+			newest = q
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+	u.caller(newest.Route).observe(now.Sub(newest.Began))
+	var found *Request
+	best := math.Log(maxLead)
+	for _, q := range r.requests {
+		if q.calls > 0 || !q.mayCall(limit, u) {
+			continue
+		}
+		if d := u.caller(q.Route).distance(now.Sub(q.Began)); d <= best {
+			found, best = q, d
+		}
+	}
+	return found
+}
+
+// distance tells how far a time until a first call is from the usual one, by its logarithm.
+func (c *caller) distance(lead time.Duration) float64 {
+	if c.lead == 0 {
+		return 0
+	}
+	return math.Abs(math.Log(float64(max(lead, minLead)) / float64(c.lead)))
+}
+
+// observe adds the time until a first call. It is that of the request which began last,
+// which is right more often than any other that a guess could choose.
+func (c *caller) observe(lead time.Duration) {
+	lead = max(lead, minLead)
+	if c.lead == 0 {
+		c.lead = lead
+	}
+	c.lead += (lead - c.lead) / leadSamples
+}
+
+func (q *Request) ifEndsAfter(limit time.Time) *Request {
+	if q == nil || !q.Deadline.After(limit) {
+		return nil
+	}
+	return q
+}
+
+// mayCall reports whether requests of this kind make such calls, and this one ends late
+// enough.
+func (q *Request) mayCall(limit time.Time, u *use) bool {
+	return q.Deadline.Sub(limit) >= -late && u.makes(q.Route)
+}
+
+// use returns the record of a route; routes above the bound share one.
+func (r *Running) use(route string) *use {
+	if u := r.uses[route]; u != nil {
+		return u
+	}
+	if len(r.uses) >= maxRoutes {
+		route = ""
+		if u := r.uses[route]; u != nil {
+			return u
+		}
+	}
+	if r.uses == nil {
+		r.uses = map[string]*use{}
+	}
+	u := &use{byRoute: map[string]*caller{}}
+	r.uses[route] = u
+	return u
+}
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
@@ -68,15 +67,13 @@
 func deepestFailure(s *Story) *Line {
 	var deepest *Line
 	for _, l := range s.Below {
-		if l.Field("outcome") != chain.OK.String() && (deepest == nil || depth(l) > depth(deepest)) {
+		if l.Field("outcome") != chain.OK.String() && (deepest == nil || l.Depth > deepest.Depth) {
 			deepest = l
 		}
 	}
 	return deepest
 }
 
-func depth(l *Line) int { return strings.Count(l.Field("request"), ".") }
-
 // unanswered tells how far a request got whose answer is not in the logs.
 func unanswered(s *Story) string {
 	last := s.Lines[len(s.Lines)-1]
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -18,20 +18,24 @@
 type Story struct {
 	ID         string
 	Lines      []*Line // of the request itself, in order
-	Below      []*Line // answers to calls that were made for it, as far as ids show
+	Below      []*Line // answers to calls that were made for it, as far as ids or times tell
 	Context    []*Line // changes of belief on the VMs concerned, from just before it to its end
 	Unreadable int     // lines of all logs that could not be read
 	Dropped    []*Line // places where the logs say that lines are missing
 	Causes     []string
+
+	answers map[string]*Line    // to requests that a daemon took for calls, by their ids
+	calls   map[string][]string // the same ids, by the id of the request that made them
 }
 
 // contextBefore is how long before a request changes of belief still explain it.
 const contextBefore = 3 * time.Second
 
 // Explain searches logs for a request. Lines of calls below it are found if their
-// ids begin with its id and a dot, as on platforms whose ids tell.
+// ids begin with its id and a dot, as on platforms whose ids tell, and otherwise if a
+// daemon took them for calls of it.
 func Explain(id string, logs []Log) (*Story, error) {
-	s := &Story{ID: id}
+	s := &Story{ID: id, answers: map[string]*Line{}, calls: map[string][]string{}}
 	var events []*Line
 	for _, log := range logs {
 		unreadable, err := ReadLog(log.Name, log.Read, func(l *Line) { s.sort(l, &events) })
@@ -40,6 +44,9 @@
 		}
 		s.Unreadable += unreadable
 	}
+	if len(s.Below) == 0 {
+		s.addCalls(id, 1, map[string]bool{id: true})
+	}
 	for _, list := range [][]*Line{s.Lines, s.Below} {
 		slices.SortStableFunc(list, byTime)
 	}
@@ -58,15 +65,36 @@
 // sort puts a line where it belongs.
 func (s *Story) sort(l *Line, events *[]*Line) {
 	request := l.Field("request")
+	if parent := l.Field("parent"); parent != "" {
+		s.calls[parent] = append(s.calls[parent], request)
+	}
 	switch {
 	case request == s.ID:
 		s.Lines = append(s.Lines, l)
 	case strings.HasPrefix(request, s.ID+"."):
 		if l.Event == "answer" {
+			l.Depth = strings.Count(strings.TrimPrefix(request, s.ID), ".")
 			s.Below = append(s.Below, l)
 		}
 	case request == "":
 		*events = append(*events, l)
+	case l.Event == "answer":
+		s.answers[request] = l
+	}
+}
+
+// addCalls adds the answers to the calls that a request made, and to theirs.
+func (s *Story) addCalls(id string, depth int, seen map[string]bool) {
+	for _, call := range s.calls[id] {
+		if seen[call] {
+			continue
+		}
+		seen[call] = true
+		if l := s.answers[call]; l != nil {
+			l.Depth = depth
+			s.Below = append(s.Below, l)
+		}
+		s.addCalls(call, depth+1, seen)
 	}
 }
 
@@ -115,7 +143,7 @@
 	if len(s.Below) > 0 {
 		fmt.Fprintf(&b, "\ncalls below it:\n")
 		for _, l := range s.Below {
-			fmt.Fprintf(&b, "%s  %-24s %-10s %s\n", l.At.Format("15:04:05.000"), l.Source, l.Field("request")[len(s.ID)+1:], details(l))
+			fmt.Fprintf(&b, "%s  %-24s %-10s %s\n", l.At.Format("15:04:05.000"), l.Source, strings.TrimPrefix(l.Field("request"), s.ID+"."), details(l))
 		}
 	}
 	if len(s.Context) > 0 {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -104,3 +104,23 @@
 	require.Equal(t, "vm-cardiff-1", s.Lines[0].Source)
 	require.Zero(t, s.Unreadable)
 }
+
+// TestCallsAreFoundByTheirParents guards the way to the cause of a failure where ids do
+// not tell which calls belong to a request: daemons name the request that they take a call
+// to come from.
+func TestCallsAreFoundByTheirParents(t *testing.T) {
+	s, text := explainText(t, "r7", map[string]string{
+		"entrance": `time=2026-01-02T10:00:00.000Z level=info event=received request=r7 service=orders
+time=2026-01-02T10:00:00.900Z level=info event=answer request=r7 service=orders outcome=failed reason=handler-error status=500 elapsed_us=900000
+`,
+		"gate": `time=2026-01-02T10:00:00.100Z level=info event=received request=c1 parent=r7 service=scans
+time=2026-01-02T10:00:00.800Z level=info event=answer request=c1 service=scans outcome=failed reason=handler-error status=500 elapsed_us=700000
+time=2026-01-02T10:00:00.800Z level=info event=answer request=c9 service=other outcome=not-run reason=connect status=503
+`,
+		"other": `time=2026-01-02T10:00:00.300Z level=info event=received request=c2 parent=c1 service=workshops
+time=2026-01-02T10:00:00.700Z level=info event=answer request=c2 service=workshops outcome=not-run reason=overload status=503 elapsed_us=400000
+`})
+	require.Len(t, s.Below, 2)
+	require.Contains(t, strings.Join(s.Causes, "\n"), "it began with a call to service workshops")
+	require.NotContains(t, text, "c9")
+}
--- a/explain/parse.go
+++ b/explain/parse.go
@@ -13,6 +13,7 @@
 
 // Line is one line of a log.
 type Line struct {
+	Depth  int    // calls between the request that is explained and the one of this line
 	Source string // what stood before the line, such as the name of a VM, or the file
 	At     time.Time
 	Level  string
--- a/forward/call.go
+++ b/forward/call.go
@@ -23,7 +23,9 @@
 	service  string
 	upstream string // id of the upstream that is to run it
 	priority chain.Priority
-	attempt  int // from 1
+	// later tells that the request which made the call has made others before.
+	later   bool
+	attempt int // from 1
 	// spare tells that another upstream could take the call.
 	spare bool
 	// repeat is the probability that the call repeats work: 1 for a repeated
@@ -39,6 +41,15 @@
 	awaited              bool      // the sender of the stream waits to be asked for it
 }
 
+// atGates is the priority of a call at gates: later calls of a request go before first ones
+// of their class, since a request that has begun has used room.
+func (c *call) atGates() chain.Priority {
+	if c.later {
+		return c.priority.Upper()
+	}
+	return c.priority.Lower()
+}
+
 // remaining is the time left, logging.NoDeadline before the deadline is known.
 func (c *call) remaining(now time.Time) time.Duration {
 	if c.deadline.IsZero() {
--- a/forward/entrance.go
+++ b/forward/entrance.go
@@ -12,6 +12,7 @@
 	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/lineage"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 )
@@ -24,8 +25,8 @@
 	route    *routing.Route
 	service  *service
 	throttle *admit.Throttle // of the route
-	priority chain.Priority
 	call     call
+	from     lineage.Call  // what is known of its origin
 	client   time.Duration // that the client waits; 0 if it did not say
 	limit    time.Time     // when it must be answered
 
@@ -47,7 +48,7 @@
 		r.refuse(&result{failure: failure})
 		return
 	}
-	f.record(&r.call, "received", nil, f.cfg.Now(), f.cfg.Now().Sub(r.arrived))
+	f.recordReceived(r)
 	ctx, cancel := context.WithDeadline(x.Context(), x.Arrived.Add(r.limit.Sub(r.arrived)+r.margin()))
 	defer cancel()
 	res := r.mayBeCut()
@@ -82,12 +83,12 @@
 // would end the request that made it.
 func (r *request) turnAway() *result {
 	now := r.f.cfg.Now()
-	if !r.f.local.called.ByClients(r.route.Name) || r.throttle.Admits(now, r.priority) {
+	if r.from.Request != nil || !r.f.local.called.ByClients(r.call.route) || r.throttle.Admits(now, r.call.priority) {
 		return nil
 	}
 	failure := chain.NewFailure(chain.NotRun, chain.ReasonDownstream, "services below turn away too many calls of this route")
-	r.f.recordThrottle(r, r.throttle.Refused(now, r.priority), failure, now)
-	return &result{failure: failure, retryAfter: admit.RetryAfter(r.priority)}
+	r.f.recordThrottle(r, r.throttle.Refused(now, r.call.priority), failure, now)
+	return &result{failure: failure, retryAfter: admit.RetryAfter(r.call.priority)}
 }
 
 // margin is how long the entrance waits past the limit. Past the time of the
@@ -118,26 +119,34 @@
 	r.throttle = v.throttles[r.route.Name]
 	r.client = clientWait(req.Header.Get(f.cfg.Dialect.Deadline))
 	r.limit = r.arrived.Add(waitFor(r.route, r.client))
-	r.priority = chain.NewPriority(classOf(r.route.Rank), r.call.id)
 	r.call = call{
-		id: r.call.id, route: word(r.route.Name), kind: r.route.Kind, service: r.service.name,
-		priority: r.atGates(r.priority), deadline: r.limit,
-		repeat: f.local.load.repeatShare(),
+		id: r.call.id, route: word(r.route.Name), kind: r.route.Kind, service: r.service.name, deadline: r.limit,
 		method: req.Method, target: req.RequestURI, host: req.Host, header: httpwire.EndToEnd(req.Header),
 	}
 	stripOwn(r.call.header)
 	r.call.header[f.cfg.Dialect.Caller] = []string{f.cfg.Service}
+	r.findOrigin()
 	return r.readBody()
 }
 
-// atGates is the priority of a call at gates: later calls of a run go before first ones
-// of their class.
-func (r *request) atGates(p chain.Priority) chain.Priority {
-	l := r.f.local
-	if l.sequences.Follows(r.arrived, r.route.Name) && !l.called.ByClients(r.route.Name) {
-		return p.Upper()
+// findOrigin finds out whether the request is a call of the local upstream, and for which
+// request. Such a call is as important as that one, if that is more than its route is, and
+// gets the same verdict at gates as the other calls of it. Without the other calls it would
+// be of no use.
+func (r *request) findOrigin() {
+	l, c := r.f.local, &r.call
+	class := classOf(r.route.Rank)
+	wait := r.client
+	if wait <= 0 {
+		wait = r.limit.Sub(r.arrived)
+	}
+	r.from = l.running.Find(r.arrived, c.route, wait)
+	c.later = r.from.Later
+	if q := r.from.Request; q != nil {
+		c.priority, c.repeat = q.Priority.AtLeast(class), q.Repeat
+		return
 	}
-	return p.Lower()
+	c.priority, c.repeat = chain.NewPriority(class, c.id), l.load.repeatShare()
 }
 
 // classOf maps the rank of a route, 0 being the highest, to a class.
@@ -220,7 +229,7 @@
 func (r *request) pick() (balance.Choice, *chain.Failure) {
 	now := r.f.cfg.Now()
 	choice, failure := r.service.balancer.Pick(now, balance.Request{
-		Priority: r.call.priority, Exclude: r.tried, Bytes: max(r.call.bodyLength(), 0), Retry: r.tries > 0, Route: r.call.route,
+		Priority: r.call.atGates(), Exclude: r.tried, Bytes: max(r.call.bodyLength(), 0), Retry: r.tries > 0, Route: r.call.route,
 		Remaining: r.limit.Sub(now),
 	})
 	if failure == nil {
@@ -424,11 +433,8 @@
 	if failure != nil && r.x.ClientGone() {
 		failure = leftEarly(failure)
 	}
-	if failure != nil && failure.Outcome != chain.OK && r.route != nil {
-		r.f.local.noteFailed(r.f.cfg.Now(), r.route.Name, failure, r.ranHere)
-	}
-	if failure == nil {
-		r.f.local.sequences.Answered(r.f.cfg.Now(), r.route.Name)
+	if r.route != nil {
+		r.noteEnd(failure)
 	}
 	if err := r.x.Respond(resp); err != nil {
 		if failure == nil {
@@ -441,6 +447,16 @@
 	r.f.recordAnswer(r, resp.Status, failure, now)
 }
 
+// noteEnd tells the local upstream's record what became of a request that it may have made.
+func (r *request) noteEnd(failure *chain.Failure) {
+	l, now := r.f.local, r.f.cfg.Now()
+	failed := failure != nil && failure.Outcome != chain.OK
+	l.running.Ended(now, r.call.route, r.from, !failed)
+	if failed {
+		l.noteFailed(now, r.call.route, failure, r.ranHere)
+	}
+}
+
 // leftEarly is the failure of a request whose client does not get its answer.
 func leftEarly(f *chain.Failure) *chain.Failure {
 	if f.Reason == chain.ReasonCancelled {
--- a/forward/local.go
+++ b/forward/local.go
@@ -12,6 +12,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/core/admit"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/lineage"
 	"github.com/bilberrydeck/bilberrydeck/core/presence"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 	"github.com/bilberrydeck/bilberrydeck/gate"
@@ -41,7 +42,7 @@
 	health     atomic.Pointer[admit.Health]
 	// healthLogged is the state in the log, owned by watch.
 	healthLogged admit.HealthState
-	sequences    admit.Sequences
+	running      lineage.Running
 	ctx          context.Context
 }
 
@@ -211,7 +212,7 @@
 	}
 	g := l.gate.Load()
 	entered := l.f.cfg.Now()
-	t, after, failure := g.Enter(ctx, admit.Request{Priority: c.priority, Deadline: c.deadline, Stream: c.kind == routing.Upload, Route: c.route})
+	t, after, failure := g.Enter(ctx, admit.Request{Priority: c.atGates(), Deadline: c.deadline, Stream: c.kind == routing.Upload, Route: c.route})
 	if failure != nil {
 		return l.refuse(c, failure, after)
 	}
@@ -248,6 +249,8 @@
 	health := l.health.Load()
 	health.Began(begun, c.route)
 	limit := c.remaining(begun)
+	origin := &lineage.Request{ID: c.id, Route: c.route, Deadline: c.deadline, Priority: c.priority, Repeat: c.repeat, Began: begun}
+	l.running.Begin(origin)
 	l.load.begin(c.repeat)
 	defer l.load.end(c.repeat)
 	if !c.kind.Repeatable() {
@@ -257,6 +260,7 @@
 	}
 	r := l.send(ctx, c)
 	took := l.f.cfg.Now().Sub(begun)
+	l.running.End(origin)
 	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError {
 		l.called.RunFailed(l.f.cfg.Now())
 		r.failure.Deep = l.lastFailed.Load() >= begun.UnixNano()
--- a/forward/peerhead.go
+++ b/forward/peerhead.go
@@ -21,6 +21,12 @@
 	headerDeep    = "Bilberry-Deep"    // the upstream failed because a call that it made failed
 )
 
+// Flags of a call.
+const (
+	flagSpare = 1 << iota // another upstream could take the call
+	flagLater             // the request that made the call has made others before
+)
+
 // stripOwn removes headers that only daemons may set.
 func stripOwn(h http.Header) {
 	for name := range h {
@@ -32,18 +38,21 @@
 
 // formatCall writes what the gate needs to know of a call: service, upstream,
 // route, kind, priority, attempt, permille of the probability that it repeats work,
-// remaining milliseconds, and 1 if another upstream could take the call.
+// remaining milliseconds, and flags.
 func formatCall(c *call, remaining time.Duration) string {
 	buf := make([]byte, 0, 96)
 	for _, word := range [...]string{c.service, c.upstream, c.route} {
 		buf = append(buf, word...)
 		buf = append(buf, ' ')
 	}
-	spare := int64(0)
+	flags := int64(0)
 	if c.spare {
-		spare = 1
+		flags |= flagSpare
+	}
+	if c.later {
+		flags |= flagLater
 	}
-	for i, n := range [...]int64{int64(c.kind), int64(c.priority), int64(c.attempt), int64(c.repeat * 1000), max(remaining.Milliseconds(), 1), spare} {
+	for i, n := range [...]int64{int64(c.kind), int64(c.priority), int64(c.attempt), int64(c.repeat * 1000), max(remaining.Milliseconds(), 1), flags} {
 		if i > 0 {
 			buf = append(buf, ' ')
 		}
@@ -73,7 +82,7 @@
 	c.kind, c.priority, c.attempt = routing.Kind(n[0]), chain.Priority(n[1]), int(n[2])
 	c.repeat = float64(n[3]) / 1000
 	c.deadline = now.Add(time.Duration(n[4]) * time.Millisecond)
-	c.spare = n[5] == 1
+	c.spare, c.later = n[5]&flagSpare != 0, n[5]&flagLater != 0
 	return true
 }
 
--- a/forward/record.go
+++ b/forward/record.go
@@ -25,10 +25,20 @@
 func (f *Forwarder) decision(c *call, event string, now time.Time, elapsed time.Duration) logging.Decision {
 	return logging.Decision{
 		Event: event, RequestID: c.id, Service: c.service, Route: c.route, Upstream: c.upstream, Attempt: uint32(c.attempt),
-		Priority: uint16(c.priority), Configuration: f.Number(), Remaining: c.remaining(now), Elapsed: elapsed,
+		Priority: uint16(c.atGates()), Configuration: f.Number(), Remaining: c.remaining(now), Elapsed: elapsed,
 	}
 }
 
+// recordReceived writes that a request has come, and from which one.
+func (f *Forwarder) recordReceived(r *request) {
+	now := f.cfg.Now()
+	d := f.decision(&r.call, "received", now, now.Sub(r.arrived))
+	if q := r.from.Request; q != nil {
+		d.Parent = q.ID
+	}
+	f.decisions.Record(d)
+}
+
 // recordChoice writes which upstream was chosen, and what was known of its load.
 func (f *Forwarder) recordChoice(c *call, choice balance.Choice, now time.Time, elapsed time.Duration) {
 	d := f.decision(c, "route", now, elapsed)
--- a/logging/decisions.go
+++ b/logging/decisions.go
@@ -13,6 +13,7 @@
 type Decision struct {
 	Event         string // received, route, admit, refuse, ran, retry, no-repeat, claim, answer, ...
 	RequestID     string
+	Parent        string // request that made this one, as far as that is known
 	Service       string
 	Route         string
 	Upstream      string
@@ -238,6 +239,7 @@
 	buf = append(d.at.AppendFormat(appendKey(buf, "time"), timeFormat), " level=info "...)
 	buf = appendPair(buf, "event", d.Event)
 	buf = appendPair(buf, "request", d.RequestID)
+	buf = appendPairIfSet(buf, "parent", d.Parent)
 	buf = appendPair(buf, "service", d.Service)
 	buf = appendPair(buf, "route", d.Route)
 	if d.Configuration != 0 {
