process: a replica that starts anew in its process finds its addresses free

The listeners of the former replica were closed by a goroutine that nobody waited for. Ruled out: a second process on the VM. Change: the parts of a process include the end of its listeners.

--- a/process/fleet.go
+++ b/process/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/internal/tcpopt"
@@ -57,19 +58,22 @@
 	return tcpopt.Dialer(controlConnectTimeout).DialContext(ctx, "tcp", o.place(address))
 }
 
-// serveHTTP serves a handler until ctx ends.
-func serveHTTP(ctx context.Context, address string, h http.Handler, logger *logging.Logger) error {
+// serveHTTP serves a handler until ctx ends. Parts are done once the address is free again.
+func serveHTTP(ctx context.Context, parts *sync.WaitGroup, address string, h http.Handler, logger *logging.Logger) error {
 	l, err := tcpopt.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout}
-	go func() {
+	parts.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error().Str("address", address).Err(err).Msg("listener failed")
 		}
-	}()
-	context.AfterFunc(ctx, func() { _ = server.Close() }) // nothing of use is in flight at the end
+	})
+	parts.Go(func() {
+		<-ctx.Done()
+		_ = server.Close() // nothing of use is in flight at the end
+	})
 	return nil
 }
 
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -101,13 +101,15 @@
 		return err
 	}
 	service.Bind(server)
-	if err := p.serveOperators(ctx, service); err != nil {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer end()
+	if err := p.serveOperators(ctx, &parts, service); err != nil {
 		return err
 	}
-	if err := p.serveMetrics(ctx, controlMetrics(server, service)); err != nil {
+	if err := p.serveMetrics(ctx, &parts, controlMetrics(server, service)); err != nil {
 		return err
 	}
-	var parts sync.WaitGroup
 	parts.Go(func() { service.Run(ctx) })
 	parts.Go(func() {
 		select {
@@ -121,8 +123,6 @@
 		end()
 	})
 	parts.Go(func() { platform.WatchSettings(ctx, p.Settings, p.Reload, p.Logger, func(platform.Settings) {}) })
-	defer parts.Wait()
-	defer end()
 	return server.Run(ctx)
 }
 
@@ -144,7 +144,7 @@
 	})
 }
 
-func (p *fleetProcess) serveOperators(ctx context.Context, service *fleet.Service) error {
+func (p *fleetProcess) serveOperators(ctx context.Context, parts *sync.WaitGroup, service *fleet.Service) error {
 	_, port, err := net.SplitHostPort(p.settings.ControlAddress)
 	if err != nil {
 		return err
@@ -153,5 +153,5 @@
 	if err != nil {
 		return err
 	}
-	return serveHTTP(ctx, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.Logger), p.Logger)
+	return serveHTTP(ctx, parts, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.Logger), p.Logger)
 }
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -69,18 +69,18 @@
 	// The agent and the small listeners outlast the planned stop of the forwarder.
 	running, end := context.WithCancel(context.Background())
 	defer end()
-	if err := serveHTTP(running, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), d.Logger); err != nil {
+	var parts sync.WaitGroup
+	if err := serveHTTP(running, &parts, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), d.Logger); err != nil {
 		return err
 	}
-	if err := serveHTTP(running, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.Logger); err != nil {
+	if err := serveHTTP(running, &parts, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.Logger); err != nil {
 		return err
 	}
-	if err := d.serveMetrics(running, d.forwarder.WriteMetrics); err != nil {
+	if err := d.serveMetrics(running, &parts, d.forwarder.WriteMetrics); err != nil {
 		return err
 	}
 	unknown := time.AfterFunc(unknownAfter, d.announceUnknown)
 	defer unknown.Stop()
-	var parts sync.WaitGroup
 	parts.Go(func() { d.agent.Run(running) })
 	parts.Go(func() { platform.WatchSettings(running, d.Settings, d.Reload, d.Logger, d.reloaded) })
 	d.forwarder.Run(ctx)
--- a/process/fleet_metrics.go
+++ b/process/fleet_metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
@@ -15,7 +16,7 @@
 )
 
 // serveMetrics serves the metrics of a process of a fleet as text.
-func (p *fleetProcess) serveMetrics(ctx context.Context, write func(io.Writer) error) error {
+func (p *fleetProcess) serveMetrics(ctx context.Context, parts *sync.WaitGroup, write func(io.Writer) error) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
@@ -23,7 +24,7 @@
 			p.Logger.Warn().Err(err).Msg("metrics could not be written")
 		}
 	})
-	return serveHTTP(ctx, p.settings.MetricsAddress(), mux, p.Logger)
+	return serveHTTP(ctx, parts, p.settings.MetricsAddress(), mux, p.Logger)
 }
 
 // controlMetrics describes a replica. Gauges are read when they are asked for.
