byroute: one table of records by route

Cause: service times, health and lineage each had a bounded map by route with the same rule for routes above the bound. Change: core/byroute holds it; lineage is split into the running requests and what is known of the use of a route.

--- a/core/admit/dispatch.go
+++ b/core/admit/dispatch.go
@@ -224,9 +224,7 @@
 	})
 	g.level.adapt(g.queueTarget())
 	g.typical.decay()
-	for _, r := range g.routes {
-		r.decay()
-	}
+	g.routes.Each((*routeTime).decay)
 	if g.floor.periods--; g.floor.periods <= 0 {
 		g.floor = floor{}
 	}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/byroute"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 )
 
@@ -19,7 +20,7 @@
 	uploads  int // running requests with a streamed upload
 	level    level
 	limiter  limiter
-	routes   routeTable
+	routes   byroute.Table[routeTime]
 	typical  routeTime // of all routes
 	period   time.Time // start of the current period
 	used     time.Time // up to when the use of the limit is recorded
@@ -38,7 +39,6 @@
 		cfg:     cfg,
 		entries: make(map[uint64]*entry),
 		limiter: l,
-		routes:  make(routeTable),
 	}
 }
 
@@ -49,7 +49,7 @@
 	defer g.mu.Unlock()
 	r.Priority = min(r.Priority, chain.MaxPriority-1)
 	g.level.arrive(r.Priority)
-	route := g.routes.get(r.Route)
+	route := g.routes.Get(r.Route)
 	if f := g.refusal(now, r, route); f != nil {
 		return []Action{refuse(r, f)}
 	}
--- a/core/admit/health.go
+++ b/core/admit/health.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/byroute"
 )
 
 // The parameters of Health.
@@ -23,8 +25,6 @@
 	// usualSamples is the number of answers that the usual run time is an average of. Times
 	// of runs vary much, and their average must not.
 	usualSamples = 50
-	// maxHealthRoutes bounds the routes that are told apart.
-	maxHealthRoutes = 256
 	// slowFactor is how much longer than usual runs may take: an upstream whose runs take
 	// twice as long is slow, which its callers see by their own time limits.
 	slowFactor = 2
@@ -78,7 +78,7 @@
 	state   HealthState
 	share   float64 // of faulty runs
 	shareAt time.Time
-	routes  map[string]*routeRuns
+	routes  byroute.Table[routeRuns]
 	missing float64   // answers that should have come, less those that did
 	at      time.Time // up to when missing is counted
 	tried   time.Time // last run of an unhealthy upstream
@@ -105,26 +105,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.count(now)
-	h.runsOf(route).running++
-}
-
-// runsOf returns the record of a route; routes above the bound share one.
-func (h *Health) runsOf(route string) *routeRuns {
-	if r := h.routes[route]; r != nil {
-		return r
-	}
-	if len(h.routes) >= maxHealthRoutes {
-		route = ""
-		if r := h.routes[route]; r != nil {
-			return r
-		}
-	}
-	if h.routes == nil {
-		h.routes = map[string]*routeRuns{}
-	}
-	r := &routeRuns{}
-	h.routes[route] = r
-	return r
+	h.routes.Get(route).running++
 }
 
 // Ended notes the end of a run that took some time.
@@ -132,7 +113,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.count(now)
-	runs := h.runsOf(route)
+	runs := h.routes.Get(route)
 	runs.running--
 	if v == RunUnsettled {
 		return
@@ -171,9 +152,7 @@
 func (h *Health) count(now time.Time) {
 	if d := now.Sub(h.at); d > 0 {
 		due := 0.0
-		for _, r := range h.routes {
-			due += r.due() * d.Seconds()
-		}
+		h.routes.Each(func(r *routeRuns) { due += r.due() * d.Seconds() })
 		h.missing = min(h.missing+due, maxMissing)
 	}
 	h.at = now
@@ -224,8 +203,6 @@
 	defer h.mu.Unlock()
 	h.judge(now)
 	running := 0
-	for _, r := range h.routes {
-		running += r.running
-	}
+	h.routes.Each(func(r *routeRuns) { running += r.running })
 	return HealthReport{State: h.state, Share: h.shareNow(now), Missing: h.missing, Running: running}
 }
--- a/core/admit/route.go
+++ b/core/admit/route.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// maxRoutes bounds the table of service times. Routes above it share one entry.
-const maxRoutes = 256
-
 // routeTime estimates the service time of a route, with waits on calls below.
 type routeTime struct {
 	mean    time.Duration
@@ -40,20 +37,3 @@
 func (r *routeTime) feasible(remaining time.Duration, part float64) bool {
 	return remaining > 0 && remaining >= time.Duration(part*float64(r.mean))
 }
-
-type routeTable map[string]*routeTime
-
-func (t routeTable) get(route string) *routeTime {
-	if r, ok := t[route]; ok {
-		return r
-	}
-	if len(t) >= maxRoutes {
-		route = ""
-		if r, ok := t[route]; ok {
-			return r
-		}
-	}
-	r := &routeTime{}
-	t[route] = r
-	return r
-}
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/byroute"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 )
 
@@ -32,25 +33,8 @@
 	// followTime is how soon after the answer to a call the next one of the same request
 	// comes: the upstream and the daemon are on one VM.
 	followTime = 2 * time.Millisecond
-	// callShare is the part of the requests on a route that must have the time limit of a
-	// running request, or follow an answer, for the route to count as one of calls. Of
-	// clients' requests few do, by chance.
-	callShare = 0.5
-	// callSamples is the number of requests after which a route is judged.
-	callSamples = 8
-	// callerShare is the part of the calls found by their time limits that a kind of request
-	// must have made to count as one that makes such calls. By chance others have made some.
-	callerShare = 0.25
 	// maxLead is how many times the usual time a request may take until its first call.
 	maxLead = 8
-	// minLead is the shortest time until a first call that is told apart.
-	minLead = time.Millisecond
-	// leadSamples is the number of requests that the usual time is an average of.
-	leadSamples = 20
-	// memory bounds the requests of a route that count, so that a changed use is noticed.
-	memory = 500
-	// maxRoutes bounds the routes that are remembered.
-	maxRoutes = 1024
 )
 
 // Request is a request that the local upstream runs. Its fields do not change.
@@ -71,78 +55,8 @@
 // Running knows the requests that the local upstream runs. The zero value is ready for use.
 type Running struct {
 	mu       sync.Mutex
-	requests []*Request      // in the order of their starts
-	uses     map[string]*use // by route
-}
-
-// use is what is known of the requests on a route.
-type use struct {
-	requests float64
-	linked   float64            // with the time limit of a running request, or after an answer
-	byRoute  map[string]*caller // by the route of the running request
-	answered []time.Time        // answers that nothing has followed yet, oldest first
-}
-
-// caller is what is known of the requests of one route as those that make calls on another.
-type caller struct {
-	found float64       // calls found by their time limits
-	lead  time.Duration // usual time until the first call, 0 if not known
-}
-
-// byCalls reports whether the route is one of calls.
-func (u *use) byCalls() bool {
-	return u.requests >= callSamples && u.linked >= callShare*u.requests
-}
-
-// makes reports whether requests of a route are known to make calls on this one.
-func (u *use) makes(route string) bool {
-	found := 0.0
-	for _, c := range u.byRoute {
-		found += c.found
-	}
-	c := u.byRoute[route]
-	return c != nil && c.found > callerShare*found
-}
-
-// follows reports whether a request follows an answer, the newest that nothing has followed.
-func (u *use) follows(now time.Time) bool {
-	for len(u.answered) > 0 && now.Sub(u.answered[0]) > followTime {
-		u.answered = u.answered[1:]
-	}
-	n := len(u.answered)
-	if n == 0 {
-		return false
-	}
-	u.answered = u.answered[:n-1]
-	return true
-}
-
-// learn counts a request with a time limit, found in a running request or not.
-func (u *use) learn(found *Request, limit time.Time, follows bool) {
-	found = found.ifEndsAfter(limit)
-	u.requests++
-	if found != nil || follows {
-		u.linked++
-	}
-	if found != nil {
-		u.caller(found.Route).found++
-	}
-	if u.requests < memory {
-		return
-	}
-	u.requests, u.linked = u.requests/2, u.linked/2
-	for _, c := range u.byRoute {
-		c.found /= 2
-	}
-}
-
-func (u *use) caller(route string) *caller {
-	c := u.byRoute[route]
-	if c == nil {
-		c = &caller{}
-		u.byRoute[route] = c
-	}
-	return c
+	requests []*Request // in the order of their starts
+	uses     byroute.Table[use]
 }
 
 // Begin notes that the upstream gets a request. End must follow.
@@ -172,7 +86,7 @@
 func (r *Running) Find(now time.Time, route string, wait time.Duration) Call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := r.use(route)
+	u := r.uses.Get(route)
 	limit, follows := now.Add(wait), u.follows(now)
 	q := r.byDeadline(limit)
 	u.learn(q, limit, follows)
@@ -198,7 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answered {
-		u := r.use(route)
+		u := r.uses.Get(route)
 		u.answered = append(u.answered, now)
 	}
 	if c.Request != nil {
@@ -250,38 +164,20 @@
 	if newest == nil {
 		return nil
 	}
-	u.caller(newest.Route).observe(now.Sub(newest.Began))
+	u.callers.Get(newest.Route).observe(now.Sub(newest.Began))
 	var found *Request
 	best := math.Log(maxLead)
 	for _, q := range r.requests {
 		if q.calls > 0 || !q.mayCall(limit, u) {
 			continue
 		}
-		if d := u.caller(q.Route).distance(now.Sub(q.Began)); d <= best {
+		if d := u.callers.Get(q.Route).distance(now.Sub(q.Began)); d <= best {
 			found, best = q, d
 		}
 	}
 	return found
 }
 
-// distance tells how far a time until a first call is from the usual one, by its logarithm.
-func (c *caller) distance(lead time.Duration) float64 {
-	if c.lead == 0 {
-		return 0
-	}
-	return math.Abs(math.Log(float64(max(lead, minLead)) / float64(c.lead)))
-}
-
-// observe adds the time until a first call. It is that of the request which began last,
-// which is right more often than any other that a guess could choose.
-func (c *caller) observe(lead time.Duration) {
-	lead = max(lead, minLead)
-	if c.lead == 0 {
-		c.lead = lead
-	}
-	c.lead += (lead - c.lead) / leadSamples
-}
-
 func (q *Request) ifEndsAfter(limit time.Time) *Request {
 	if q == nil || !q.Deadline.After(limit) {
 		return nil
@@ -294,22 +190,3 @@
 func (q *Request) mayCall(limit time.Time, u *use) bool {
 	return q.Deadline.Sub(limit) >= -late && u.makes(q.Route)
 }
-
-// use returns the record of a route; routes above the bound share one.
-func (r *Running) use(route string) *use {
-	if u := r.uses[route]; u != nil {
-		return u
-	}
-	if len(r.uses) >= maxRoutes {
-		route = ""
-		if u := r.uses[route]; u != nil {
-			return u
-		}
-	}
-	if r.uses == nil {
-		r.uses = map[string]*use{}
-	}
-	u := &use{byRoute: map[string]*caller{}}
-	r.uses[route] = u
-	return u
-}
