fleet: a state is published after its session became the active one

Cause: the agent passed the state of an update on before it decided whether the candidate session that sent it replaces the active one, so that a reader saw the new state with the replica of the former session. TestUnresponsiveReplicaIsReplaced, listed as failing at times, read in between. Ruled out: a longer wait in the test, which would hide the order. Change: the candidate is evaluated before its state is applied. Before and after: TestStateFollowsItsSession failed (the replica was empty, then the former one) and passes.

--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -239,18 +239,19 @@
 	}
 }
 
-// applySessionUpdate applies an update of a session, and evaluates the candidate if the update
-// is from it.
+// applySessionUpdate applies an update of a session. An update of the candidate decides first
+// whether the candidate becomes the active session, so that the state that OnChange receives does
+// not precede the session that it came from.
 func (a *Agent) applySessionUpdate(s **session, u *api.AttendUpdate) {
 	now := a.cfg.Clock()
 	age, ageKnown := (*s).recordUpdate(now, u)
 	if len(u.Controls) > 0 {
 		a.setReplicas(u.Controls)
 	}
-	a.applyState(u, age, ageKnown)
 	if s == &a.candidate {
 		a.evaluateCandidate(now)
 	}
+	a.applyState(u, age, ageKnown)
 	if a.active != nil && a.active.healthy(now) {
 		a.selector.MarkHealthy(a.active.address)
 	}
--- a/fleet/client_session_test.go
+++ b/fleet/client_session_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/replicaselect"
+	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
 // TestSessionHealthy checks that a session is unhealthy if its updates are delayed, and healthy
@@ -38,3 +40,26 @@
 	require.EqualValues(t, 5, a.state.Routing.Number)
 	require.Equal(t, 1, changes)
 }
+
+// discardingStream is a stream that accepts all requests.
+type discardingStream struct{ attendStream }
+
+func (discardingStream) Send(*api.AttendRequest) error { return nil }
+
+// TestStateFollowsItsSession checks that a state from a candidate session is published only once
+// that session is the active one, so that nobody sees it with the replica of the former session.
+func TestStateFollowsItsSession(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var a *Agent
+	var connected []string
+	a = NewAgent(AgentConfig{Logger: logging.New(io.Discard), Clock: func() time.Time { return now }, OnChange: func(State) { connected = append(connected, a.ConnectedReplica()) }})
+	open := func(address string) *session {
+		return &session{address: address, cancel: func() {}, stream: discardingStream{}, sequence: 1, sentAt: map[uint64]time.Time{1: now}}
+	}
+	for i, address := range []string{"first:1", "second:1"} {
+		a.candidate = open(address)
+		a.handleEvent(event{session: a.candidate, update: &api.AttendUpdate{Index: uint64(i + 1), Full: true, Echo: 1}})
+		require.Equal(t, address, a.ConnectedReplica())
+	}
+	require.Equal(t, []string{"first:1", "second:1"}, connected)
+}
