httpwire, forward: whole large responses, bounded heads, rejections that prove something

Causes, each shown by a test that failed on the code before: - A response of 1 MiB or more to a request that is not idempotent was always cut off: the execution cancelled its context when it returned, while the body was still being streamed. Now 64 KiB for all heads of an exchange; a body ends at 256 MiB. - A discarded response longer than 1 MiB in chunks was cut off there without an error, and the rest of its body was parsed as the next response, so that a rejection could be forged. - A rejection that an upstream wrote once more on a kept connection was believed for a later request with the same id, which the upstream executed: clients got 503, or it ran elsewhere too. A connection now carries no id twice. - A rejection followed by another response was believed. It now leaves the outcome unknown; a rejection followed by the end of the connection still counts. Ruled out: closing each connection after a rejection, which would cost a connection for each rejection under overload.

--- a/forward/call.go
+++ b/forward/call.go
@@ -71,7 +71,7 @@
 // clientRequest returns the call as an HTTP request with the given headers.
 func (c *call) clientRequest(header http.Header) *httpwire.ClientRequest {
 	return &httpwire.ClientRequest{
-		Method: c.method, Target: c.target, Host: c.host, Header: header, Body: c.body, Stream: c.stream, Length: c.length,
+		Method: c.method, Target: c.target, Host: c.host, ID: c.id, Header: header, Body: c.body, Stream: c.stream, Length: c.length,
 	}
 }
 
@@ -97,6 +97,20 @@
 	release func()    // releases the stream's connection; nil if the body is buffered
 }
 
+// onRelease calls f once the response needs its connection no longer: at once if the body is
+// buffered or there is no response.
+func (r *response) onRelease(f func()) {
+	if r == nil || r.release == nil {
+		f()
+		return
+	}
+	release := r.release
+	r.release = func() {
+		release()
+		f()
+	}
+}
+
 // close releases the connection of a streamed response. It may be called on nil.
 func (r *response) close() {
 	if r != nil && r.release != nil {
@@ -116,7 +130,7 @@
 }
 
 // readResponse reads a response from a connection and buffers its body if it is small.
-// release is called once the connection is no longer needed.
+// release is called once the connection is no longer needed, also after a failure.
 func readResponse(ctx context.Context, from *httpwire.ClientResponse, release func()) (*response, *chain.Failure) {
 	r := &response{status: from.Status, header: httpwire.EndToEndHeaders(from.Header)}
 	body, err := io.ReadAll(io.LimitReader(from.Body, maxBufferedBody))
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -83,6 +83,10 @@
 
 // respond writes a response that echoes the id of the request.
 func (u *fakeUpstream) respond(c net.Conn, req *http.Request, status int, body string, headers ...string) {
+	u.respondTo(c, req, status, body, headers...)
+}
+
+func (u *fakeUpstream) respondTo(c io.Writer, req *http.Request, status int, body string, headers ...string) {
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", // the peer may have closed the connection
 		status, req.Header.Get("X-Id"), len(body), strings.Join(append(headers, ""), "\r\n"), body)
 }
@@ -140,7 +144,11 @@
 		<-ended
 	})
 	f.daemons, f.stop, f.stopped = append(f.daemons, d), append(f.stop, cancel), append(f.stopped, ended)
-	d.HandleHeartbeat(lifecycle.Heartbeat{ID: u.id, StartedAtMs: 1, Sequence: 1, Service: "orders", State: lifecycle.Ready, Slots: testSlots})
+	d.HandleHeartbeat(readyHeartbeat(u.id, 1, testSlots))
+}
+
+func readyHeartbeat(id string, sequence uint64, slots int) lifecycle.Heartbeat {
+	return lifecycle.Heartbeat{ID: id, StartedAtMs: 1, Sequence: sequence, Service: "orders", State: lifecycle.Ready, Slots: slots}
 }
 
 // publishUpstreams passes the list of upstreams to all daemons.
@@ -195,13 +203,24 @@
 }
 
 func (f *testFleet) trySend(ctx context.Context, daemon int, q testRequest) (*http.Response, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, testTimeout)
+	defer cancel()
+	resp, err := f.open(ctx, daemon, q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// open sends a request and returns the response with its body unread.
+func (f *testFleet) open(ctx context.Context, daemon int, q testRequest) (*http.Response, error) {
 	ingress, _ := f.daemons[daemon].ListenAddresses()
 	method := http.MethodGet
 	if q.body != "" || !q.kind.IsIdempotent() {
 		method = http.MethodPost
 	}
-	ctx, cancel := context.WithTimeout(ctx, testTimeout)
-	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+ingress+"/"+q.kind.String()+"/7?x=1", strings.NewReader(q.body))
 	require.NoError(f.t, err)
 	req.Host = "shop.example"
@@ -215,11 +234,5 @@
 	if q.clientTimeout > 0 {
 		req.Header.Set("X-Wait", strconv.FormatInt(q.clientTimeout.Milliseconds(), 10))
 	}
-	resp, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
-	if err != nil {
-		return nil, "", err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return resp, string(body), err
+	return (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
 }
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -254,12 +254,12 @@
 	l.parents.RequestStarted(parent)
 	l.load.started(c.retryProbability)
 	defer l.load.ended(c.retryProbability)
+	endExchange := func() {}
 	if !c.kind.IsIdempotent() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), max(c.remaining(startedAt)+responseGraceTime, 0))
-		defer cancel()
+		ctx, endExchange = context.WithTimeout(context.WithoutCancel(ctx), max(c.remaining(startedAt)+responseGraceTime, 0))
 	}
 	r := l.callUpstream(ctx, c)
+	r.response.onRelease(endExchange) // a large response is read from the connection after the execution
 	elapsed := l.f.cfg.Now().Sub(startedAt)
 	l.parents.RequestEnded(parent)
 	if r.failure != nil && r.failure.Reason == chain.ReasonHandlerError {
@@ -315,7 +315,7 @@
 	if !c.kind.IsIdempotent() {
 		idle = nonIdempotentMaxIdle
 	}
-	conn, err := l.pool.Get(ctx, idle)
+	conn, err := l.pool.Get(ctx, idle, c.id)
 	if err != nil {
 		return l.connectFailure(ctx, err)
 	}
@@ -381,17 +381,23 @@
 // classifyResponse classifies a response whose head was read, and reads its body.
 func (l *upstreamProxy) classifyResponse(ctx context.Context, conn *httpwire.ClientConn, from *httpwire.ClientResponse) *result {
 	names := &l.f.cfg.HeaderNames
-	resp, failure := readResponse(ctx, from, func() { l.pool.Put(conn) })
+	contradicted := false
+	resp, failure := readResponse(ctx, from, func() {
+		// A rejection that is followed by another response does not prove anything.
+		contradicted = isRejection(from, names) && conn.HasExcessInput()
+		l.pool.Put(conn)
+	})
 	if failure != nil {
-		conn.Close()
 		return &result{failure: failure, delivered: true}
 	}
 	r := &result{delivered: true}
 	switch {
+	case contradicted:
+		r.failure = chain.NewFailure(chain.Unknown, chain.ReasonCrossed, "the upstream sent more than the rejection of the request")
 	case from.Status == http.StatusMisdirectedRequest:
 		l.markReplaced(from.Header.Get(names.ResponderID))
 		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "another upstream runs at this address")
-	case from.Header.Get(names.NotExecuted) != "" && from.Status != http.StatusBadRequest:
+	case isRejection(from, names):
 		r.failure = chain.NewFailure(chain.NotRun, chain.ReasonUpstreamRefused, "the upstream rejected the request without executing it")
 	case from.Status >= http.StatusInternalServerError:
 		r.failure = chain.NewFailure(chain.Failed, chain.ReasonHandlerError, "the upstream responded with status "+strconv.Itoa(from.Status))
@@ -405,6 +411,12 @@
 	return r
 }
 
+// isRejection reports whether a response says that the request was not executed. One with status 400
+// says so as well, but another upstream would respond alike.
+func isRejection(from *httpwire.ClientResponse, names *HeaderNames) bool {
+	return from.Status == http.StatusMisdirectedRequest || from.Header.Get(names.NotExecuted) != "" && from.Status != http.StatusBadRequest
+}
+
 // inFlightLoad counts the calls in flight at the upstream and the expected retries among them.
 type inFlightLoad struct {
 	mu       sync.Mutex
--- a/forward/peer_client.go
+++ b/forward/peer_client.go
@@ -43,7 +43,7 @@
 func (f *Forwarder) sendToPeer(ctx context.Context, address string, c *call) *result {
 	f.metrics.peerAttempts.Inc()
 	pool := f.peers.pool(address)
-	conn, err := pool.Get(ctx, peerIdleTimeout)
+	conn, err := pool.Get(ctx, peerIdleTimeout, c.id)
 	if err != nil {
 		if ctx.Err() != nil {
 			return &result{failure: chain.FailureFromContext(ctx, chain.NotRun, "cancelled or expired before a connection to the upstream's daemon was open")}
@@ -91,7 +91,6 @@
 	dependency := from.Header.Get(headerDependency)
 	resp, failure := readResponse(ctx, from, func() { pool.Put(conn) })
 	if failure != nil {
-		conn.Close()
 		return &result{failure: failure, delivered: true, loadReport: loadReport}
 	}
 	removeInternalHeaders(resp.header)
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := l.pool.Get(ctx, peerIdleTimeout)
+	conn, err := l.pool.Get(ctx, peerIdleTimeout, "")
 	if err != nil {
 		return // no upstream is running yet; its first heartbeat registers it
 	}
@@ -121,9 +121,11 @@
 		conn.Close()
 		return
 	}
-	if _, failure := readResponse(ctx, from, func() { l.pool.Put(conn) }); failure != nil {
+	resp, failure := readResponse(ctx, from, func() { l.pool.Put(conn) })
+	if failure != nil {
 		return
 	}
+	resp.close()
 	l.recordProbe(from.Header.Get(l.f.cfg.HeaderNames.ResponderID), from.Status == http.StatusOK)
 }
 
--- a/httpwire/client_test.go
+++ b/httpwire/client_test.go
@@ -108,13 +108,13 @@
 	require.NoError(t, err)
 	readBody(t, resp)
 	pool.Put(c)
-	again, err := pool.Get(testContext(t), time.Minute)
+	again, err := pool.Get(testContext(t), time.Minute, "")
 	require.NoError(t, err)
 	require.Same(t, c, again)
 	pool.Put(c)
 	s.send(response1)
 	require.Eventually(t, func() bool { return !c.hasNoInput() }, testTimeout, time.Millisecond)
-	_, err = pool.Get(testContext(t), time.Minute)
+	_, err = pool.Get(testContext(t), time.Minute, "")
 	require.ErrorIs(t, err, io.ErrClosedPipe, "a new connection is opened")
 }
 
@@ -234,7 +234,7 @@
 	pool := Pool{Dial: func(context.Context) (net.Conn, error) { dials++; return nil, io.ErrClosedPipe }}
 	c.maxIdleTime = 0
 	pool.Put(c)
-	_, err := pool.Get(testContext(t), time.Minute)
+	_, err := pool.Get(testContext(t), time.Minute, "")
 	require.Error(t, err)
 	require.Equal(t, 1, dials)
 }
@@ -247,9 +247,9 @@
 	pool := Pool{Dial: func(context.Context) (net.Conn, error) { dials++; return nil, io.ErrClosedPipe }}
 	pool.Put(c)
 	time.Sleep(2 * time.Millisecond)
-	_, err := pool.Get(testContext(t), time.Millisecond)
+	_, err := pool.Get(testContext(t), time.Millisecond, "")
 	require.ErrorIs(t, err, io.ErrClosedPipe)
-	again, err := pool.Get(testContext(t), time.Minute)
+	again, err := pool.Get(testContext(t), time.Minute, "")
 	require.NoError(t, err)
 	require.Same(t, c, again)
 	require.Equal(t, 1, dials)
@@ -262,3 +262,34 @@
 	})
 	require.Equal(t, http.Header{"X-End": {"1"}}, h)
 }
+
+// TestConnectionWithUnreadResponseIsNotReused guards against a connection that returns to the pool
+// before its response has been read to the end: the next exchange would read the rest, or be cut
+// off when the first one closes the connection.
+func TestConnectionWithUnreadResponseIsNotReused(t *testing.T) {
+	for name, readPart := range map[string]func(*ClientResponse, *testServer){
+		"abandoned": func(*ClientResponse, *testServer) {},
+		"cut off": func(resp *ClientResponse, s *testServer) {
+			_ = s.Close()
+			_, err := io.ReadAll(resp.Body)
+			require.Error(s.t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, s := connect(t)
+			pool := Pool{Dial: func(context.Context) (net.Conn, error) { return nil, io.ErrClosedPipe }}
+			go func() {
+				s.readRequest()
+				s.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\none")
+			}()
+			resp, err := c.Do(testContext(t), getRequest("1"))
+			require.NoError(t, err)
+			first := make([]byte, 3)
+			_, err = io.ReadFull(resp.Body, first)
+			require.NoError(t, err)
+			readPart(resp, s)
+			pool.Put(c)
+			require.Empty(t, pool.idle)
+		})
+	}
+}
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -26,6 +27,10 @@
 	Length int64
 	// AwaitContinue sends the body only after the server has sent 100 Continue.
 	AwaitContinue bool
+	// ID identifies the request in its response. A connection carries no two requests with the same
+	// ID, because a response to the first one that is sent again would be taken for the response to
+	// the second one. It may be empty.
+	ID string
 	// MatchResponse reports whether a response belongs to this request; nil accepts every response.
 	MatchResponse func(http.Header) bool
 }
@@ -46,9 +51,24 @@
 	ErrMismatch = errors.New("the response belongs to another request")
 	// ErrNoResponse means that the connection was closed before a response began.
 	ErrNoResponse = errors.New("the connection was closed without a response")
+	// ErrResponseHeadTooLarge means that the head of the response, or the interim responses before
+	// it, exceed the limit.
+	ErrResponseHeadTooLarge = &ParseError{Status: http.StatusBadGateway, Reason: "the response head exceeds the limit"}
+	// ErrResponseTooLarge means that the body of the response exceeds the limit.
+	ErrResponseTooLarge = &ParseError{Status: http.StatusBadGateway, Reason: "the response body exceeds the limit"}
 )
 
 const (
+	// maxResponseHead is the maximum size in bytes of the head of a response, with the interim
+	// responses before it. It exceeds what an upstream needs for the headers of any request that
+	// the usual request limits admit.
+	maxResponseHead = 64 << 10
+	// maxResponseBody is the maximum size in bytes of the body of a response. A larger one takes
+	// longer on the link of a VM than its client waits.
+	maxResponseBody = 256 << 20
+	// maxExchanges is the number of exchanges of a connection, which bounds the memory for the ids
+	// of its requests.
+	maxExchanges = 2000
 	// maxMismatched is the number of responses to other requests that are discarded.
 	maxMismatched = 4
 	// maxMismatchedBody is the maximum size in bytes of the body of a discarded response.
@@ -66,19 +86,42 @@
 
 // ClientConn is a connection to a server. It carries one exchange at a time.
 type ClientConn struct {
-	nc          net.Conn
-	reader      *bufio.Reader
-	written     atomic.Int64
-	exchanges   int
-	unusable    atomic.Bool
-	maxIdleTime time.Duration
-	idleSince   time.Time // when it was last returned to the pool
-	bodyResult  chan error
+	nc            net.Conn
+	limitedSource *limitedReader
+	reader        *bufio.Reader
+	written       atomic.Int64
+	exchanges     int
+	requestIDs    map[uint64]struct{} // hashes of the ids of the requests so far
+	inExchange    atomic.Bool         // the response has not been read to its end
+	unusable      atomic.Bool
+	maxIdleTime   time.Duration
+	idleSince     time.Time // when it was last returned to the pool
+	bodyResult    chan error
 }
 
 // NewClientConn returns a ClientConn that owns the given connection.
 func NewClientConn(nc net.Conn) *ClientConn {
-	return &ClientConn{nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), maxIdleTime: defaultMaxIdleTime}
+	source := &limitedReader{src: nc, remaining: noLimit}
+	return &ClientConn{nc: nc, limitedSource: source, reader: bufio.NewReaderSize(source, readBufferBytes), maxIdleTime: defaultMaxIdleTime}
+}
+
+var idSeed = maphash.MakeSeed()
+
+// recordID remembers the id of a request.
+func (c *ClientConn) recordID(id string) {
+	if id == "" {
+		return
+	}
+	if c.requestIDs == nil {
+		c.requestIDs = map[uint64]struct{}{}
+	}
+	c.requestIDs[maphash.String(idSeed, id)] = struct{}{}
+}
+
+// hasCarried reports whether the connection may have carried a request with the given id before.
+func (c *ClientConn) hasCarried(id string) bool {
+	_, found := c.requestIDs[maphash.String(idSeed, id)]
+	return found && id != ""
 }
 
 // Written returns the number of bytes of the current exchange that may have been sent. Zero
@@ -102,6 +145,8 @@
 // connection is unusable. After an error the connection must be closed.
 func (c *ClientConn) Do(ctx context.Context, req *ClientRequest) (*ClientResponse, error) {
 	c.exchanges++
+	c.recordID(req.ID)
+	c.inExchange.Store(true)
 	c.written.Store(0)
 	stop := context.AfterFunc(ctx, func() {
 		c.unusable.Store(true)
@@ -222,24 +267,32 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// readResponse reads response heads until one belongs to the request.
+// readResponse reads response heads until one belongs to the request. The limit applies to all
+// heads together, so that interim responses without end are detected as well.
 func (c *ClientConn) readResponse(req *ClientRequest) (*ClientResponse, error) {
+	c.limitedSource.setLimit(max(maxResponseHead-c.reader.Buffered(), 0))
+	defer c.limitedSource.clearLimit()
 	for mismatched := 0; mismatched <= maxMismatched; {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
-		if err != nil {
-			return nil, responseError(err)
-		}
 		switch {
+		case c.limitedSource.exceeded:
+			return nil, ErrResponseHeadTooLarge
+		case err != nil:
+			return nil, responseError(err)
 		case resp.StatusCode == http.StatusContinue:
 			if req.AwaitContinue && c.bodyResult == nil {
 				c.sendBody(req)
 			}
 		case resp.StatusCode < 200:
 		case req.MatchResponse != nil && !req.MatchResponse(resp.Header):
+			c.limitedSource.setLimit(maxMismatchedBody)
 			if err := c.discardResponse(resp); err != nil {
 				return nil, err
 			}
+			c.limitedSource.setLimit(max(maxResponseHead-c.reader.Buffered(), 0))
 			mismatched++
+		case resp.ContentLength > maxResponseBody:
+			return nil, ErrResponseTooLarge
 		default:
 			return &ClientResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: c, resp: resp}, nil
 		}
@@ -247,12 +300,13 @@
 	return nil, ErrMismatch
 }
 
-// discardResponse reads a response to another request to its end.
+// discardResponse reads a response to another request to its end. If it is cut off before its end,
+// the rest of its body must not be read as the next response.
 func (c *ClientConn) discardResponse(resp *http.Response) error {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxMismatchedBody {
 		return ErrMismatch // the end of the response, and so the next response, cannot be found
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBody+1)); err != nil {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return ErrMismatch
 	}
 	return nil
@@ -275,6 +329,7 @@
 	response *ClientResponse
 	ctx      context.Context
 	stop     func() bool
+	received int64
 	err      error
 }
 
@@ -284,6 +339,10 @@
 		return 0, b.err
 	}
 	n, err := b.response.resp.Body.Read(p)
+	b.received += int64(n)
+	if b.received > maxResponseBody {
+		err = ErrResponseTooLarge
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -301,10 +360,11 @@
 // checkReuse determines whether the connection can carry another exchange.
 func (c *ClientConn) checkReuse(resp *http.Response) {
 	hasLength := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !hasLength || resp.Close || c.reader.Buffered() > 0 || !c.bodySent() {
+	if !hasLength || resp.Close || c.reader.Buffered() > 0 || !c.bodySent() || c.exchanges >= maxExchanges {
 		c.unusable.Store(true)
 	}
 	c.maxIdleTime = parseMaxIdleTime(resp.Header)
+	c.inExchange.Store(false)
 }
 
 // bodySent reports whether the whole request has been sent. Otherwise its rest would be read as the
--- a/httpwire/pool.go
+++ b/httpwire/pool.go
@@ -20,14 +20,20 @@
 	idle []*ClientConn
 }
 
-// Get returns a connection that was idle for at most maxIdle, or a new one. With a maxIdle of 0 it
-// always opens a new one.
-func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*ClientConn, error) {
+// Get returns a connection for a request with the given id, which may be empty: one that was idle
+// for at most maxIdle and has not carried the id before, or a new one. With a maxIdle of 0 it always
+// opens a new one.
+func (p *Pool) Get(ctx context.Context, maxIdle time.Duration, id string) (*ClientConn, error) {
 	for c := p.takeIdle(maxIdle); c != nil; c = p.takeIdle(maxIdle) {
-		if c.hasNoInput() {
+		if !c.hasNoInput() {
+			c.Close()
+			continue
+		}
+		if !c.hasCarried(id) {
 			return c, nil
 		}
-		c.Close()
+		p.add(c)
+		break // an id that occurs twice is rare, so the other idle connections are not searched
 	}
 	nc, err := p.Dial(ctx)
 	if err != nil {
@@ -52,16 +58,21 @@
 	return c
 }
 
-// Put returns a connection to the pool after an exchange. An unusable connection is closed.
+// Put returns a connection to the pool after an exchange. An unusable connection, and one whose
+// response has not been read to its end, is closed.
 func (p *Pool) Put(c *ClientConn) {
-	if c.unusable.Load() || c.maxIdleTime <= 0 {
+	if c.unusable.Load() || c.inExchange.Load() || c.maxIdleTime <= 0 {
 		c.Close()
 		return
 	}
 	c.idleSince = time.Now()
+	p.add(c)
+}
+
+func (p *Pool) add(c *ClientConn) {
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
-	expired := p.removeExpired(c.idleSince)
+	expired := p.removeExpired(time.Now())
 	p.mu.Unlock()
 	closeAll(expired)
 }
@@ -98,23 +109,40 @@
 // hasNoInput reports whether an idle connection has received neither its end nor bytes that belong
 // to no request.
 func (c *ClientConn) hasNoInput() bool {
-	if c.reader.Buffered() > 0 {
-		return false
+	n, err := c.peekInput()
+	return n == 0 && err == unix.EAGAIN
+}
+
+// HasExcessInput reports whether bytes have arrived after the end of the response. They belong to
+// no request. The end of the connection does not count.
+func (c *ClientConn) HasExcessInput() bool {
+	n, _ := c.peekInput() // a failed connection has no input
+	return n > 0
+}
+
+// peekInput returns the number of bytes that can be read at once, at most one from the socket. Its
+// error is EAGAIN if there are none and the connection is open, nil at the end of the connection.
+func (c *ClientConn) peekInput() (int, error) {
+	if n := c.reader.Buffered(); n > 0 {
+		return n, nil
 	}
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN // only sockets can be peeked at
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	empty := false
+	var n int
+	var peekErr error
 	var b [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && empty
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), peekErr
 }
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -292,12 +292,15 @@
 // limitedReader limits the number of bytes that are read for one head.
 type limitedReader struct {
 	src       io.Reader
-	remaining int  // -1 for no limit
+	remaining int  // noLimit for no limit
 	exceeded  bool // a read was attempted at the limit
 }
 
+// noLimit is the value of limitedReader.remaining without a limit.
+const noLimit = -1
+
 func (l *limitedReader) setLimit(n int) { l.remaining, l.exceeded = n, false }
-func (l *limitedReader) clearLimit()    { l.remaining = -1 }
+func (l *limitedReader) clearLimit()    { l.remaining = noLimit }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
