platform, fleet, process: odd entries about upstreams name no upstream, and the others hold

Ruled out: nesting (encoding/json limits it) and crashes of replicas on such entries (none found); a bound on the sequence relative to the last one, because daemons restart and miss heartbeats. Change: bounds with reasons in core/lifecycle, checked in platform; draining and deregistration count in whatever order they arrive; an incarnation that responds at the address takes its place back; readers of member entries skip and log odd ones; weights are scaled.

--- a/core/lifecycle/tracker.go
+++ b/core/lifecycle/tracker.go
@@ -20,6 +20,34 @@
 // String returns the name used in logs.
 func (s State) String() string { return stateNames[s] }
 
+// Limits of what a heartbeat may say. A value beyond them cannot come from an upstream, and would
+// stay in effect until the next incarnation.
+const (
+	// MaxSlots is the maximum concurrency of an upstream. More requests in flight exceed the
+	// descriptors of a VM.
+	MaxSlots = 1 << 16
+	// MaxWarmUp is the maximum time for which a started upstream is slow.
+	MaxWarmUp = 10 * time.Minute
+	// MaxSequence is the largest integer that every JSON implementation represents exactly.
+	MaxSequence = 1<<53 - 1
+	// MaxStartedAtMs is the start of the year 2100. A later start would make each further
+	// incarnation older than the one that claims it.
+	MaxStartedAtMs = 4_102_444_800_000
+	// MaxIDBytes is the maximum length of the id of an upstream, which is sent with each request.
+	MaxIDBytes = 256
+)
+
+// ValidID reports whether the id of an upstream can be sent in a header and in the messages between
+// daemons.
+func ValidID(id string) bool {
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return id != "" && len(id) <= MaxIDBytes
+}
+
 // Heartbeat is a status message of an upstream to its daemon.
 type Heartbeat struct {
 	ID          string
@@ -62,6 +90,7 @@
 	sequence      uint64
 	lastHeartbeat time.Time
 	deregistered  bool
+	responder     string // id that responded in place of the current incarnation, empty if none did
 }
 
 // NewTracker returns a Tracker for upstreams of a service.
@@ -86,18 +115,23 @@
 	}
 	sameIncarnation := h.ID == t.current.ID && h.StartedAtMs == t.current.StartedAtMs
 	switch {
-	case sameIncarnation && (t.deregistered || h.Sequence <= t.sequence):
-		return Stale
-	case !sameIncarnation && h.StartedAtMs < t.current.StartedAtMs:
+	case sameIncarnation && t.deregistered:
 		return Stale
+	case sameIncarnation && h.Sequence <= t.sequence && h.State != Draining:
+		return Stale // draining is final, so it holds in whatever order it arrives
+	case !sameIncarnation && h.StartedAtMs < t.current.StartedAtMs && h.ID != t.responder:
+		return Stale // unless this incarnation is known to run in place of the current one
 	case !sameIncarnation && h.StartedAtMs == t.current.StartedAtMs && t.current.ID != "" && h.ID < t.current.ID:
 		return Stale // ids order incarnations that started in the same millisecond
 	}
 	if sameIncarnation && t.current.State == Draining {
-		h.State = Draining // draining is final
+		h.State = Draining
+	}
+	if sameIncarnation {
+		h.Sequence = max(h.Sequence, t.sequence)
 	}
 	t.current = Incarnation{ID: h.ID, StartedAtMs: h.StartedAtMs, State: h.State, Slots: h.Slots, WarmUntil: now.Add(h.WarmUp)}
-	t.sequence, t.lastHeartbeat, t.deregistered = h.Sequence, now, false
+	t.sequence, t.lastHeartbeat, t.deregistered, t.responder = h.Sequence, now, false, ""
 	return Accepted
 }
 
@@ -127,12 +161,12 @@
 }
 
 // ObserveReplacement records that another incarnation responded at the address of the current
-// one, which has therefore ended. It returns false and has no effect if the id is empty or that
-// of the current incarnation.
+// one, which has therefore ended, or never ran here. It returns false and has no effect if the id
+// is empty or that of the current incarnation.
 func (t *Tracker) ObserveReplacement(id string) bool {
 	if id == "" || id == t.current.ID {
 		return false
 	}
-	t.deregistered = true
+	t.deregistered, t.responder = true, id
 	return true
 }
--- a/core/lifecycle/tracker_test.go
+++ b/core/lifecycle/tracker_test.go
@@ -63,3 +63,31 @@
 	require.Equal(t, Absent, tracker.Current().State)
 	require.False(t, tracker.ObserveReplacement("i-1"))
 }
+
+// TestDrainingAfterOddSequence guards against a heartbeat of another writer with a sequence that no
+// later heartbeat of the upstream reaches: the upstream must still be able to drain and to leave.
+func TestDrainingAfterOddSequence(t *testing.T) {
+	tracker := NewTracker("photos")
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 4, Ready)))
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, MaxSequence, Ready)))
+	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 5, Ready)))
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 6, Draining)))
+	require.Equal(t, Draining, tracker.Current().State)
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 6, Draining)), "a repeated heartbeat is acknowledged again")
+	require.True(t, tracker.Deregister("i-1"))
+}
+
+// TestOddStartTimeIsRepaired guards against a heartbeat of another writer that claims a later start
+// than the upstream has: once the upstream has responded in its place, its heartbeats count again.
+func TestOddStartTimeIsRepaired(t *testing.T) {
+	tracker := NewTracker("photos")
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 4, Ready)))
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-odd", MaxStartedAtMs, 1, Ready)))
+	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 5, Ready)))
+	require.True(t, tracker.ObserveReplacement("i-1"))
+	require.Equal(t, Absent, tracker.Current().State)
+	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-0", 90, 5, Ready)), "a late heartbeat of an incarnation that has ended")
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 6, Ready)))
+	require.Equal(t, Ready, tracker.Current().State)
+	require.Equal(t, "i-1", tracker.Current().ID)
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -138,7 +138,7 @@
 	if r.Timeout < 0 || r.Timeout > MaxTimeout {
 		addProblem("the timeout %s must be at most %s", r.Timeout, MaxTimeout)
 	}
-	total := 0
+	hasWeight := false
 	for _, target := range r.Targets {
 		if !services[target.Service] {
 			addProblem("service %q is not listed", target.Service)
@@ -146,9 +146,9 @@
 		if target.Weight < 0 {
 			addProblem("the weight of service %q is negative", target.Service)
 		}
-		total += target.Weight
+		hasWeight = hasWeight || target.Weight > 0
 	}
-	if total <= 0 {
+	if !hasWeight {
 		addProblem("no service has a weight above 0")
 	}
 	return problems
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -62,3 +63,20 @@
 		require.Equal(t, map[string]int{"a": 90, "b": 10}, count)
 	}
 }
+
+// TestLargeWeights guards against weights whose sum overflows or takes a daemon seconds to process:
+// the requests are distributed in the same proportions.
+func TestLargeWeights(t *testing.T) {
+	for _, weights := range [][3]int{{math.MaxInt, math.MaxInt / 9, 1}, {900_000_000, 100_000_000, 0}} {
+		targets := []Target{{"a", weights[0]}, {"b", weights[1]}, {"c", weights[2]}}
+		table := &Table{Version: 1, Services: []Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}, Routes: []Route{{Name: "r", Host: "h", Prefix: "/", Targets: targets}}}
+		require.Empty(t, table.Validate())
+		s := NewWeightedSelector(targets, math.MaxInt)
+		counts := map[string]int{}
+		for range 1000 {
+			counts[s.Next()]++
+		}
+		require.InDelta(t, 900, counts["a"], 2)
+		require.InDelta(t, 100, counts["b"], 2)
+	}
+}
--- a/core/routing/weighted_selector.go
+++ b/core/routing/weighted_selector.go
@@ -1,6 +1,10 @@
 package routing
 
-import "sync"
+import (
+	"math"
+	"slices"
+	"sync"
+)
 
 // WeightedSelector distributes the requests of a route among its targets by smooth weighted
 // round robin: any sequence of consecutive requests comes as close to the weights as whole
@@ -15,8 +19,8 @@
 // NewWeightedSelector returns a WeightedSelector for the targets. It skips the given number
 // of selections, so that daemons that start together do not all begin with the same target.
 func NewWeightedSelector(targets []Target, skip int) *WeightedSelector {
-	s := &WeightedSelector{targets: targets, credit: make([]int, len(targets))}
-	for _, t := range targets {
+	s := &WeightedSelector{targets: scaleWeights(targets), credit: make([]int, len(targets))}
+	for _, t := range s.targets {
 		s.total += t.Weight
 	}
 	if s.total > 0 {
@@ -44,3 +48,26 @@
 	s.credit[best] -= s.total
 	return s.targets[best].Service
 }
+
+// maxTotalWeight is the total up to which weights are used as they are. Up to it, credits cannot
+// overflow and skipping takes little time, and no service gets measurably more or less than its part.
+const maxTotalWeight = 100_000
+
+// scaleWeights returns the targets with weights in the same proportions whose total does not
+// exceed maxTotalWeight by more than the number of targets. A weight above 0 stays above 0.
+func scaleWeights(targets []Target) []Target {
+	total := 0.0
+	for _, t := range targets {
+		total += float64(t.Weight)
+	}
+	if total <= maxTotalWeight {
+		return targets
+	}
+	scaled := slices.Clone(targets)
+	for i, t := range targets {
+		if t.Weight > 0 {
+			scaled[i].Weight = max(1, int(math.Round(float64(t.Weight)/total*maxTotalWeight)))
+		}
+	}
+	return scaled
+}
--- a/core/statemachine/fleet.go
+++ b/core/statemachine/fleet.go
@@ -224,7 +224,9 @@
 	f.appliedIndex, f.horizon = s.Index, s.Index
 	f.routing, f.routingIndex = s.Routing, s.RoutingIndex
 	for _, m := range s.Members {
-		f.members[m.GetMember().GetPeerAddress()] = m
+		if m.GetMember() != nil { // an entry without a member names no daemon
+			f.members[m.Member.PeerAddress] = m
+		}
 	}
 	for _, a := range s.Accepted {
 		f.recordAccepted(a.Number, a.Digest)
--- a/fleet/config_api.go
+++ b/fleet/config_api.go
@@ -59,18 +59,18 @@
 		return 0, &NotLeaderError{raftStatus.Leader.GetAddress()}
 	}
 	digest := sha256.Sum256(ch.Document)
-	deflated, err := deflate(ch.Document)
+	document, err := DeflateDocument(ch.Version, ch.Document)
 	if err != nil {
 		return 0, &UnavailableError{err}
 	}
 	res, err := s.Execute(ctx, &api.FleetCommand{Operation: &api.FleetCommand_Routing{Routing: &api.RoutingChange{
-		Base: ch.BaseVersion, Digest: digest[:], Document: &api.RoutingDocument{Number: ch.Version, Deflated: deflated},
+		Base: ch.BaseVersion, Digest: digest[:], Document: document,
 	}}})
 	if err != nil {
 		return 0, &UnavailableError{err}
 	}
 	s.log.Info().Uint64("base", ch.BaseVersion).Uint64("number", ch.Version).Str("status", res.Status.String()).Bool("repeated", res.Repeated).
-		Uint64("current", res.Current).Int("bytes", len(ch.Document)).Int("deflated", len(deflated)).Msg("configuration decided")
+		Uint64("current", res.Current).Int("bytes", len(ch.Document)).Int("deflated", len(document.Deflated)).Msg("configuration decided")
 	switch res.Status {
 	case api.RoutingStatus_ROUTING_STATUS_ACCEPTED:
 		return Accepted, nil
@@ -114,6 +114,12 @@
 	return io.ReadAll(flate.NewReader(bytes.NewReader(doc.Deflated)))
 }
 
+// DeflateDocument returns a routing document with a text.
+func DeflateDocument(number uint64, text []byte) (*api.RoutingDocument, error) {
+	deflated, err := deflate(text)
+	return &api.RoutingDocument{Number: number, Deflated: deflated}, err
+}
+
 func deflate(text []byte) ([]byte, error) {
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -41,8 +41,12 @@
 	fleetProcess
 	forwarder *forward.Forwarder
 	agent     *fleet.Agent
-	table     atomic.Pointer[routing.Table]
 	announced atomic.Bool
+
+	// The state of the fleet, owned by the agent's goroutine.
+	table         *routing.Table   // the active configuration, nil before the first one
+	decodedConfig uint64           // version of the configuration that was decoded last
+	oddMembers    map[string]error // errors of the member entries that are ignored, by the daemon's address
 }
 
 func (d *fleetDaemon) run(ctx context.Context) error {
@@ -128,46 +132,71 @@
 }
 
 // applyState passes a new state of the fleet to the forwarder.
-func (d *fleetDaemon) applyState(s fleet.State) {
-	table, err := d.routingTable(s.Routing)
-	if err != nil {
-		d.Logger.Error().Uint64("number", s.Routing.GetNumber()).Err(err).Msg("accepted configuration not activated")
-		return
-	}
-	d.forwarder.UpdateFleet(forward.FleetState{Table: table, Upstreams: servingUpstreams(s.Members), Daemons: len(s.Members)})
+func (d *fleetDaemon) applyState(s fleet.State) { d.forwarder.UpdateFleet(d.fleetState(s)) }
+
+// fleetState returns the state as the forwarder uses it. Odd entries and an unusable configuration
+// do not keep the rest from taking effect.
+func (d *fleetDaemon) fleetState(s fleet.State) forward.FleetState {
+	upstreams, odd := servingUpstreams(s.Members)
+	d.logOddMembers(odd)
+	return forward.FleetState{Table: d.routingTable(s.Routing), Upstreams: upstreams, Daemons: len(s.Members)}
 }
 
-// routingTable returns the table of a routing document. It decodes the document only if its
-// version differs from that of the active table.
-func (d *fleetDaemon) routingTable(doc *api.RoutingDocument) (*routing.Table, error) {
-	if doc == nil {
-		return nil, nil
+// logOddMembers logs each unusable member entry when it appears and when it is gone.
+func (d *fleetDaemon) logOddMembers(odd map[string]error) {
+	for address, err := range odd {
+		if before := d.oddMembers[address]; before == nil || before.Error() != err.Error() {
+			d.Logger.Warn().Str("daemon", address).Err(err).Msg("member entry ignored")
+		}
 	}
-	if active := d.table.Load(); active != nil && active.Version == doc.Number {
-		return active, nil
+	for address := range d.oddMembers {
+		if odd[address] == nil {
+			d.Logger.Info().Str("daemon", address).Msg("member entry usable or removed")
+		}
 	}
-	text, err := fleet.InflateDocument(doc)
+	d.oddMembers = odd
+}
+
+// routingTable returns the table of a routing document, or the active table if the document cannot
+// be used. It decodes a document only once.
+func (d *fleetDaemon) routingTable(doc *api.RoutingDocument) *routing.Table {
+	if doc == nil || doc.Number == d.decodedConfig {
+		return d.table
+	}
+	d.decodedConfig = doc.Number
+	table, err := decodeRoutingDocument(doc)
 	if err != nil {
-		return nil, err
+		d.Logger.Error().Uint64("number", doc.Number).Err(err).Msg("accepted configuration not activated")
+		return d.table
 	}
-	table, err := platform.DecodeConfig(text)
+	d.table = table
+	return table
+}
+
+func decodeRoutingDocument(doc *api.RoutingDocument) (*routing.Table, error) {
+	text, err := fleet.InflateDocument(doc)
 	if err != nil {
 		return nil, err
 	}
-	d.table.Store(table)
-	return table, nil
+	return platform.DecodeConfig(text)
 }
 
-// servingUpstreams returns the upstreams in state serving by service.
-func servingUpstreams(members map[string]*api.FleetMember) map[string][]balance.Upstream {
+// servingUpstreams returns the upstreams in state serving by service, and the errors of the member
+// entries that cannot be used by the address of the daemon. The other entries hold.
+func servingUpstreams(members map[string]*api.FleetMember) (map[string][]balance.Upstream, map[string]error) {
 	out := map[string][]balance.Upstream{}
-	for _, m := range members {
-		if m.UpstreamId == "" || m.State != api.UpstreamState_UPSTREAM_STATE_SERVING {
+	odd := map[string]error{}
+	for address, m := range members {
+		serving, err := fleet.ServingUpstream(m)
+		if err != nil {
+			odd[address] = err
+		}
+		if !serving {
 			continue
 		}
 		out[m.Service] = append(out[m.Service], balance.Upstream{
 			ID: m.UpstreamId, Address: m.PeerAddress, Region: m.Region, AvailabilityZone: m.AvailabilityZone, Slots: int(m.Slots),
 		})
 	}
-	return out
+	return out, odd
 }
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -78,7 +78,9 @@
 			heartbeat.State = lifecycle.Draining
 		}
 		u.mu.Unlock()
-		err := u.vm.cluster.client.SendHeartbeat(ctx, u.vm.settings.ControlAddress, heartbeat)
+		err := u.vm.cluster.client.SendHeartbeat(ctx, u.vm.settings.ControlAddress, heartbeat, platform.UpstreamLocation{
+			Address: u.vm.addressOf(portUpstream), AvailabilityZone: u.vm.settings.AvailabilityZone, Version: "v1",
+		})
 		if err == nil && heartbeat.State == lifecycle.Draining {
 			u.vm.cluster.checker.recordDraining(id)
 		}
