--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/lifecycle"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
+	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
 // testTimeout limits every wait of a test.
@@ -105,6 +107,7 @@
 	stop    []context.CancelFunc
 	stopped []chan struct{}
 	table   *routing.Table
+	logger  *logging.Logger // nil discards the lines before they are formatted
 
 	clockDelay atomic.Int64 // nanoseconds that each reading of the clock takes
 }
@@ -129,7 +132,7 @@
 	d, err := New(context.Background(), Config{
 		IngressAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", UpstreamAddress: u.address, Service: "orders",
 		Region: "north", AvailabilityZone: fmt.Sprint("zone-", i), HeaderNames: testHeaderNames,
-		RetryBudget: RetryBudgetConfig{Ratio: 0.2, MinRetries: 20, Window: 10 * time.Second}, ShutdownGracePeriod: 400 * time.Millisecond, Now: f.now,
+		RetryBudget: RetryBudgetConfig{Ratio: 0.2, MinRetries: 20, Window: 10 * time.Second}, ShutdownGracePeriod: 400 * time.Millisecond, Now: f.now, Logger: f.logger,
 	})
 	require.NoError(f.t, err)
 	_, d.cfg.PeerAddress = d.ListenAddresses()
@@ -154,7 +157,8 @@
 // publishUpstreams passes the list of upstreams to all daemons.
 func (f *testFleet) publishUpstreams(upstreams []*fakeUpstream) {
 	var list []balance.Upstream
-	for i, u := range upstreams {
+	for _, u := range upstreams {
+		i := slices.IndexFunc(f.daemons, func(d *Forwarder) bool { return d.cfg.UpstreamAddress == u.address })
 		list = append(list, balance.Upstream{ID: u.id, Address: f.daemons[i].cfg.PeerAddress, Region: "north", AvailabilityZone: fmt.Sprint("zone-", i), Slots: testSlots})
 	}
 	for _, d := range f.daemons {
