--- a/forward/call.go
+++ b/forward/call.go
@@ -68,10 +68,10 @@
 	return int64(len(c.body))
 }
 
-// clientRequest returns the call as an HTTP request with the given headers.
-func (c *call) clientRequest(header http.Header) *httpwire.ClientRequest {
+// clientRequest returns the call as an HTTP request with additional headers.
+func (c *call) clientRequest(set ...httpwire.HeaderField) *httpwire.ClientRequest {
 	return &httpwire.ClientRequest{
-		Method: c.method, Target: c.target, Host: c.host, ID: c.id, Header: header, Body: c.body, Stream: c.stream, Length: c.length,
+		Method: c.method, Target: c.target, Host: c.host, ID: c.id, Header: c.header, Set: set, Body: c.body, Stream: c.stream, Length: c.length,
 	}
 }
 
@@ -129,11 +129,38 @@
 	return &result{failure: chain.NewFailure(chain.NotRun, reason, message)}
 }
 
+// minBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
+const minBodyBuffer = 8 << 10
+
+// readBuffered reads a body of the given length, -1 if unknown, up to maxBufferedBody. A buffer for an
+// unknown length doubles, so that all its versions together take no more than twice the limit.
+func readBuffered(from io.Reader, length int64) ([]byte, error) {
+	size := length + 1 // leaves room to read the end of the body
+	if length < 0 || length >= maxBufferedBody {
+		size = minBodyBuffer
+	}
+	body := make([]byte, 0, size)
+	for len(body) < maxBufferedBody {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(2*cap(body), maxBufferedBody)), body...)
+		}
+		n, err := from.Read(body[len(body):min(cap(body), maxBufferedBody)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
 // readResponse reads a response from a connection and buffers its body if it is small.
 // release is called once the connection is no longer needed, also after a failure.
 func readResponse(ctx context.Context, from *httpwire.ClientResponse, release func()) (*response, *chain.Failure) {
-	r := &response{status: from.Status, header: httpwire.EndToEndHeaders(from.Header)}
-	body, err := io.ReadAll(io.LimitReader(from.Body, maxBufferedBody))
+	r := &response{status: from.Status, header: from.Header}
+	body, err := readBuffered(from.Body, from.Length)
 	if err != nil {
 		release()
 		if ctx.Err() != nil {
@@ -141,9 +168,6 @@
 		}
 		return nil, chain.WrapFailure(chain.Unknown, chain.ReasonTruncated, "the response ended early", err)
 	}
-	if int64(len(body)) == from.Length {
-		_, _ = from.Body.Read(make([]byte, 1)) // reads io.EOF, which frees the connection
-	}
 	if len(body) < maxBufferedBody {
 		r.body = body
 		release()
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -181,6 +181,7 @@
 // testRequest describes a request that a test sends to an ingress listener.
 type testRequest struct {
 	kind          routing.RouteKind
+	method        string // empty for GET, or for POST with a body or a kind that is not idempotent
 	id            string
 	clientTimeout time.Duration
 	body          string
@@ -225,6 +226,9 @@
 	if q.body != "" || !q.kind.IsIdempotent() {
 		method = http.MethodPost
 	}
+	if q.method != "" {
+		method = q.method
+	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+ingress+"/"+q.kind.String()+"/7?x=1", strings.NewReader(q.body))
 	require.NoError(f.t, err)
 	req.Host = "shop.example"
--- a/forward/ingress.go
+++ b/forward/ingress.go
@@ -121,9 +121,10 @@
 	r.deadline = r.receivedAt.Add(requestTimeout(r.route, r.clientTimeout))
 	r.call = call{
 		id: r.call.id, route: headerToken(r.route.Name), kind: r.route.Kind, service: r.service.name, deadline: r.deadline,
-		method: req.Method, target: req.RequestURI, host: req.Host, header: httpwire.EndToEndHeaders(req.Header),
+		method: req.Method, target: req.RequestURI, host: req.Host, header: req.Header,
 	}
 	removeInternalHeaders(r.call.header)
+	delete(r.call.header, f.cfg.HeaderNames.Deadline) // each hop sends what is left
 	r.call.header[f.cfg.HeaderNames.Caller] = []string{f.cfg.Service}
 	r.correlateParent()
 	return r.readBody()
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -343,10 +343,10 @@
 // upstreamRequest returns the request as it is sent to the upstream.
 func (l *upstreamProxy) upstreamRequest(c *call, id string, remaining time.Duration) *httpwire.ClientRequest {
 	names := &l.f.cfg.HeaderNames
-	h := c.header.Clone()
-	h.Set(names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	h.Set(names.UpstreamID, id)
-	req := c.clientRequest(h)
+	req := c.clientRequest(
+		httpwire.HeaderField{Name: names.Deadline, Value: strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)},
+		httpwire.HeaderField{Name: names.UpstreamID, Value: id},
+	)
 	req.MatchResponse = func(h http.Header) bool { return h.Get(names.RequestID) == c.id }
 	return req
 }
--- a/forward/peer_client.go
+++ b/forward/peer_client.go
@@ -62,10 +62,7 @@
 
 // peerRequest returns the call as it is sent to a peer.
 func (f *Forwarder) peerRequest(c *call) *httpwire.ClientRequest {
-	h := c.header.Clone()
-	delete(h, f.cfg.HeaderNames.Deadline)
-	h[headerCall] = []string{formatCall(c, c.remaining(f.cfg.Now()))}
-	req := c.clientRequest(h)
+	req := c.clientRequest(httpwire.HeaderField{Name: headerCall, Value: formatCall(c, c.remaining(f.cfg.Now()))})
 	req.AwaitContinue = c.bodyLength() < 0 || c.bodyLength() >= continueThreshold || c.bodyLength() > 0 && !c.kind.IsIdempotent()
 	return req
 }
--- a/forward/peer_server.go
+++ b/forward/peer_server.go
@@ -19,7 +19,7 @@
 	f.metrics.peerRequests.Inc()
 	c := &call{
 		id: x.Request.Header.Get(f.cfg.HeaderNames.RequestID), method: x.Request.Method, target: x.Request.RequestURI,
-		host: x.Request.Host, header: httpwire.EndToEndHeaders(x.Request.Header),
+		host: x.Request.Host, header: x.Request.Header,
 	}
 	if !parseCall(x.Request.Header.Get(headerCall), f.cfg.Now(), c) {
 		f.respondToPeer(x, rejected(chain.ReasonBadRequest, "the request has no valid Bilberry-Call header"))
--- a/forward/responses_test.go
+++ b/forward/responses_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -87,3 +89,18 @@
 	require.NoError(t, d.WriteMetrics(&text))
 	return text.String()
 }
+
+// TestResponseWithoutBody checks that a response without a body is complete although its head states
+// the length that the body of another method would have.
+func TestResponseWithoutBody(t *testing.T) {
+	u := newFakeUpstream(t, "i-1", func(req *http.Request, c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+req.Header.Get("X-Id")+"\r\nContent-Length: 1000\r\n\r\n") // the daemon may have disconnected
+	})
+	f := newTestFleet(t, ordersTable(), u, newFakeUpstream(t, "i-2", nil))
+	f.daemons[1].DeregisterUpstream("i-2")
+	for daemon := range f.daemons {
+		resp, body := f.send(daemon, testRequest{kind: routing.Idempotent, method: http.MethodHead})
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Empty(t, body)
+	}
+}
--- a/httpwire/client_test.go
+++ b/httpwire/client_test.go
@@ -255,11 +255,12 @@
 	require.Equal(t, 1, dials)
 }
 
-// TestEndToEndHeaders checks that hop-by-hop headers are removed.
-func TestEndToEndHeaders(t *testing.T) {
-	h := EndToEndHeaders(http.Header{
+// TestHopByHopHeadersAreRemoved checks that only end-to-end headers are left.
+func TestHopByHopHeadersAreRemoved(t *testing.T) {
+	h := http.Header{
 		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"}, "X-End": {"1"},
-	})
+	}
+	removeHopByHopHeaders(h)
 	require.Equal(t, http.Header{"X-End": {"1"}}, h)
 }
 
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -21,7 +21,9 @@
 	Target string // path and query as received
 	Host   string
 	Header http.Header // end-to-end headers only
-	Body   []byte
+	// Set replaces or adds single headers, so that Header can be shared by several attempts.
+	Set  []HeaderField
+	Body []byte
 	// Stream replaces Body. Length is its size in bytes; with -1 it is sent in chunks.
 	Stream io.Reader
 	Length int64
@@ -35,14 +37,19 @@
 	MatchResponse func(http.Header) bool
 }
 
+// HeaderField is one header with a single value.
+type HeaderField struct{ Name, Value string }
+
 // ClientResponse is a response whose head has been read.
 type ClientResponse struct {
 	Status int
-	Header http.Header // including hop-by-hop headers
+	Header http.Header // end-to-end headers only
 	Length int64       // -1 if the response states no Content-Length
 	Body   io.Reader
-	conn   *ClientConn
-	resp   *http.Response
+
+	conn        *ClientConn
+	resp        *http.Response
+	maxIdleTime time.Duration // for which the server keeps the connection open
 }
 
 // Errors of an exchange on a connection.
@@ -252,7 +259,7 @@
 	buf.WriteString(" HTTP/1.1\r\nHost: ")
 	buf.WriteString(req.Host)
 	buf.WriteString("\r\n")
-	appendHeaders(buf, req.Header)
+	appendHeaders(buf, req.Header, req.Set)
 	if length != 0 || expectsLength(req.Method) {
 		appendLength(buf, length)
 	}
@@ -294,7 +301,9 @@
 		case resp.ContentLength > maxResponseBody:
 			return nil, ErrResponseTooLarge
 		default:
-			return &ClientResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: c, resp: resp}, nil
+			r := &ClientResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: c, resp: resp, maxIdleTime: parseMaxIdleTime(resp.Header)}
+			removeHopByHopHeaders(r.Header)
+			return r, nil
 		}
 	}
 	return nil, ErrMismatch
@@ -352,18 +361,18 @@
 	case err != io.EOF && b.ctx.Err() != nil:
 		b.err = context.Cause(b.ctx)
 	case err == io.EOF && ended:
-		b.response.conn.checkReuse(b.response.resp)
+		b.response.conn.checkReuse(b.response)
 	}
 	return n, b.err
 }
 
 // checkReuse determines whether the connection can carry another exchange.
-func (c *ClientConn) checkReuse(resp *http.Response) {
-	hasLength := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !hasLength || resp.Close || c.reader.Buffered() > 0 || !c.bodySent() || c.exchanges >= maxExchanges {
+func (c *ClientConn) checkReuse(r *ClientResponse) {
+	hasLength := r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
+	if !hasLength || r.resp.Close || c.reader.Buffered() > 0 || !c.bodySent() || c.exchanges >= maxExchanges {
 		c.unusable.Store(true)
 	}
-	c.maxIdleTime = parseMaxIdleTime(resp.Header)
+	c.maxIdleTime = r.maxIdleTime
 	c.inExchange.Store(false)
 }
 
--- a/httpwire/doc.go
+++ b/httpwire/doc.go
@@ -16,24 +16,24 @@
 // RequestLimits limit the requests of a client.
 type RequestLimits = routing.RequestLimits
 
-// hopByHopHeaders are hop-by-hop headers, which are not forwarded.
-var hopByHopHeaders = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
-	"Proxy-Authenticate": true, "Proxy-Authorization": true,
+// isHopByHop reports whether a header concerns a single connection, so that it is not forwarded.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+		"Proxy-Authenticate", "Proxy-Authorization":
+		return true
+	}
+	return false
 }
 
-// EndToEndHeaders returns the end-to-end headers of a message. The values are shared with the argument.
-func EndToEndHeaders(src http.Header) http.Header {
-	dst := make(http.Header, len(src)+2)
-	listed := src["Connection"]
-	for name, values := range src {
-		if hopByHopHeaders[name] || len(listed) > 0 && listedInConnection(listed, name) {
-			continue
+// removeHopByHopHeaders removes the hop-by-hop headers of a message.
+func removeHopByHopHeaders(h http.Header) {
+	listed := h["Connection"]
+	for name := range h {
+		if isHopByHop(name) || len(listed) > 0 && listedInConnection(listed, name) {
+			delete(h, name)
 		}
-		dst[name] = values
 	}
-	return dst
 }
 
 // listedInConnection reports whether the values of the Connection header list a header.
--- a/httpwire/endless_response_test.go
+++ b/httpwire/endless_response_test.go
@@ -68,7 +68,7 @@
 	go func() {
 		s.readRequest()
 		_, _ = io.WriteString(s.Conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nX: "+value+"\r\n\r\n") // the client fails the test
-		_, _ = s.Write(encodeChunk([]byte(body)))                                                                       // as above
+		_, _ = s.Write(appendChunk(nil, []byte(body)))                                                                  // as above
 		_, _ = io.WriteString(s.Conn, "0\r\n\r\n")                                                                      // as above
 	}()
 	resp, err := c.Do(testContext(t), getRequest("1"))
@@ -129,7 +129,7 @@
 				s.readRequest()
 				body := strings.Repeat("a", filler) + forged
 				_, _ = io.WriteString(s.Conn, "HTTP/1.1 200 OK\r\nId: 9\r\nTransfer-Encoding: chunked\r\n\r\n") // the client may close the connection
-				_, _ = s.Write(encodeChunk([]byte(body)))                                                       // as above
+				_, _ = s.Write(appendChunk(nil, []byte(body)))                                                  // as above
 				_, _ = io.WriteString(s.Conn, "0\r\n\r\n"+response1)                                            // as above
 			}()
 			resp, err := c.Do(testContext(t), getRequest("1"))
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -15,7 +15,7 @@
 
 // ServerExchange is one request of a client and its response.
 type ServerExchange struct {
-	Request    *http.Request // the body is read through Body
+	Request    *http.Request // with end-to-end headers only; the body is read through Body
 	ReceivedAt time.Time
 	Body       *Body // nil if the request has none
 
@@ -31,8 +31,9 @@
 	x := &ServerExchange{Request: req, ReceivedAt: time.Now(), conn: c, written: make(chan struct{})}
 	x.ctx, x.cancel = context.WithCancel(c.ctx)
 	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
-		x.Body = newBody(x, limits)
+		x.Body = newBody(x, limits, req.Header.Get("Expect") != "")
 	}
+	removeHopByHopHeaders(req.Header)
 	return x
 }
 
@@ -47,8 +48,6 @@
 // RemoteAddr returns the address of the client.
 func (x *ServerExchange) RemoteAddr() string { return x.conn.nc.RemoteAddr().String() }
 
-func (x *ServerExchange) handle() { x.conn.server.Handle(x) }
-
 // awaitBodyRead waits until the body has been read. It reports whether the next request can be read
 // from the connection.
 func (x *ServerExchange) awaitBodyRead() bool {
@@ -68,6 +67,7 @@
 type ServerResponse struct {
 	Status int
 	Header http.Header
+	Set    []HeaderField // replaces or adds single headers
 	Body   []byte
 	// Stream replaces Body. Length is its size in bytes; with -1 it is sent in chunks.
 	Stream io.Reader
@@ -159,6 +159,8 @@
 	Length   int64 // -1 if it is sent in chunks
 	exchange *ServerExchange
 	limit    int64
+	// expectsContinue is set if the client waits for 100 Continue.
+	expectsContinue bool
 
 	mu           sync.Mutex
 	received     int64
@@ -171,8 +173,8 @@
 // ErrBodyTooLarge is returned for a body that exceeds the limit.
 var ErrBodyTooLarge = &ParseError{Status: http.StatusRequestEntityTooLarge, Reason: "the request body exceeds the limit"}
 
-func newBody(x *ServerExchange, limits RequestLimits) *Body {
-	return &Body{Length: x.Request.ContentLength, exchange: x, limit: limits.BodyBytes, ended: make(chan struct{})}
+func newBody(x *ServerExchange, limits RequestLimits, expectsContinue bool) *Body {
+	return &Body{Length: x.Request.ContentLength, exchange: x, limit: limits.BodyBytes, expectsContinue: expectsContinue, ended: make(chan struct{})}
 }
 
 // bodyStallTimeout is the time within which a client must send the next part of its body.
@@ -206,7 +208,7 @@
 
 // sendContinue sends 100 Continue to a client that waits for it.
 func (b *Body) sendContinue() {
-	if b.continueSent || b.exchange.Request.Header.Get("Expect") == "" {
+	if b.continueSent || !b.expectsContinue {
 		return
 	}
 	b.continueSent = true
@@ -236,7 +238,7 @@
 	switch {
 	case b.err == io.EOF:
 		return true
-	case b.err != nil, b.Length < 0, !b.continueSent && b.exchange.Request.Header.Get("Expect") != "":
+	case b.err != nil, b.Length < 0, !b.continueSent && b.expectsContinue:
 		return false
 	}
 	return b.Length-b.received <= maxDiscardedBody
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,10 @@
 // At the limit the connection is not read, which applies backpressure to the client.
 const maxPipelined = 64
 
+// maxIdleWorkers is the number of goroutines that wait for the next request. They keep the stacks that
+// earlier requests have grown, which new goroutines would have to grow again.
+const maxIdleWorkers = 64
+
 // acceptRetryDelay is the wait after a failed accept, for example if file descriptors run out.
 const acceptRetryDelay = 10 * time.Millisecond
 
@@ -29,10 +34,16 @@
 	draining  bool
 	closed    bool
 	openConns sync.WaitGroup
+
+	work        chan *ServerExchange // to the idle workers
+	idleWorkers atomic.Int32
+	stopWorkers chan struct{} // closed when Serve returns
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. It may be called once.
 func (s *Server) Serve(l net.Listener) error {
+	s.work, s.stopWorkers = make(chan *ServerExchange), make(chan struct{})
+	defer close(s.stopWorkers)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -48,6 +59,37 @@
 	}
 }
 
+// process processes a request in another goroutine: an idle worker, or a new one.
+func (s *Server) process(x *ServerExchange) {
+	select {
+	case s.work <- x:
+	default:
+		go s.runWorker(x)
+	}
+}
+
+// runWorker processes one request after the other.
+func (s *Server) runWorker(x *ServerExchange) {
+	for x != nil {
+		s.Handle(x)
+		x = s.awaitWork()
+	}
+}
+
+// awaitWork returns the next request for an idle worker, nil if the worker is to end.
+func (s *Server) awaitWork() *ServerExchange {
+	defer s.idleWorkers.Add(-1)
+	if s.idleWorkers.Add(1) > maxIdleWorkers {
+		return nil
+	}
+	select {
+	case x := <-s.work:
+		return x
+	case <-s.stopWorkers:
+		return nil
+	}
+}
+
 func (s *Server) add(nc net.Conn) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -82,7 +82,7 @@
 			<-c.slots
 			return c.watchDisconnect()
 		}
-		go x.handle()
+		c.server.process(x)
 		if !x.awaitBodyRead() {
 			return nil
 		}
--- a/httpwire/write.go
+++ b/httpwire/write.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,15 +28,26 @@
 	buffers.Put(b)
 }
 
-func appendHeaders(buf *bytes.Buffer, h http.Header) {
+// appendHeaders writes h without the headers in set, and set.
+func appendHeaders(buf *bytes.Buffer, h http.Header, set []HeaderField) {
 	for name, values := range h {
+		if slices.ContainsFunc(set, func(f HeaderField) bool { return f.Name == name }) {
+			continue
+		}
 		for _, v := range values {
-			buf.WriteString(name)
-			buf.WriteString(": ")
-			buf.WriteString(v)
-			buf.WriteString("\r\n")
+			appendHeader(buf, name, v)
 		}
 	}
+	for _, f := range set {
+		appendHeader(buf, f.Name, f.Value)
+	}
+}
+
+func appendHeader(buf *bytes.Buffer, name, value string) {
+	buf.WriteString(name)
+	buf.WriteString(": ")
+	buf.WriteString(value)
+	buf.WriteString("\r\n")
 }
 
 func appendLength(buf *bytes.Buffer, length int64) {
@@ -54,7 +66,7 @@
 	buf.WriteByte(' ')
 	buf.WriteString(http.StatusText(r.Status))
 	buf.WriteString("\r\n")
-	appendHeaders(buf, r.Header)
+	appendHeaders(buf, r.Header, r.Set)
 	switch {
 	case r.Status == http.StatusNoContent || r.Status == http.StatusNotModified:
 	case length < 0 && !req.ProtoAtLeast(1, 1):
@@ -85,10 +97,12 @@
 		return err
 	}
 	buf := make([]byte, 16<<10)
+	var chunk []byte
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if _, werr := w.Write(encodeChunk(buf[:n])); werr != nil {
+			chunk = appendChunk(chunk[:0], buf[:n])
+			if _, werr := w.Write(chunk); werr != nil {
 				return werr
 			}
 		}
@@ -102,8 +116,7 @@
 	}
 }
 
-func encodeChunk(p []byte) []byte {
-	out := make([]byte, 0, len(p)+16)
+func appendChunk(out, p []byte) []byte {
 	out = strconv.AppendInt(out, int64(len(p)), 16)
 	out = append(out, '\r', '\n')
 	out = append(out, p...)
