--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -8,14 +9,17 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/raft"
 	"github.com/bilberrydeck/bilberrydeck/core/statemachine"
+	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
 // discoveryCluster runs replicas that discover each other through three seeds.
@@ -25,10 +29,30 @@
 	addresses []string          // listen addresses; the first three are the seeds
 	zones     map[string]string // availability zone by address, for replicas that share one
 	running   map[string]*process
+	log       lockedBuffer // of all replicas, printed if the test fails
+}
+
+// lockedBuffer is a buffer that several replicas write to.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
 }
 
 func newDiscoveryCluster(t *testing.T, replicas int) *discoveryCluster {
 	c := &discoveryCluster{t: t, dir: t.TempDir(), zones: map[string]string{}, running: map[string]*process{}}
+	t.Cleanup(func() {
+		c.log.mu.Lock()
+		defer c.log.mu.Unlock()
+		if t.Failed() {
+			t.Logf("log of the replicas:\n%s", c.log.text.String())
+		}
+	})
 	for range replicas {
 		c.addresses = append(c.addresses, freeAddress(t))
 	}
@@ -43,8 +67,10 @@
 func (c *discoveryCluster) start(address string, firstStart bool) *process {
 	listener, err := net.Listen("tcp", address)
 	require.NoError(c.t, err)
+	logger := logging.New(&c.log)
+	logger.Context = log.NewContext(nil).Str("at", address).Value()
 	s, err := New(Config{
-		Listener: listener, DataDirectory: filepath.Join(c.dir, address),
+		Listener: listener, DataDirectory: filepath.Join(c.dir, address), Logger: logger,
 		TickInterval:    20 * time.Millisecond,
 		NewStateMachine: func(uint32) StateMachine { return statemachine.NewFleet() },
 		Discovery: &DiscoveryConfig{
--- a/forward/config.go
+++ b/forward/config.go
@@ -96,6 +96,9 @@
 	// carry a non-idempotent request. If the upstream closes an idle connection while the
 	// request is sent, it is unknown whether the request was executed.
 	nonIdempotentMaxIdle = 3 * time.Second
+	// uncheckedIdleTime is the idle time up to which a connection is used for an idempotent request
+	// without a check whether it is still open. Upstreams that forget idle connections do so later.
+	uncheckedIdleTime = 100 * time.Millisecond
 	// linkBytesPerSecond is the budget of each link to another region.
 	linkBytesPerSecond = 4 << 20
 	// slowStart is the time over which a new upstream's weight rises to its full value.
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := l.pool.Get(ctx, peerIdleTimeout, "")
+	conn, err := l.pool.Get(ctx, httpwire.Reuse{MaxIdle: peerIdleTimeout})
 	if err != nil {
 		return // no upstream is running yet; its first heartbeat registers it
 	}
--- a/httpwire/client_test.go
+++ b/httpwire/client_test.go
@@ -108,13 +108,13 @@
 	require.NoError(t, err)
 	readBody(t, resp)
 	pool.Put(c)
-	again, err := pool.Get(testContext(t), time.Minute, "")
+	again, err := pool.Get(testContext(t), Reuse{MaxIdle: time.Minute})
 	require.NoError(t, err)
 	require.Same(t, c, again)
 	pool.Put(c)
 	s.send(response1)
 	require.Eventually(t, func() bool { return !c.hasNoInput() }, testTimeout, time.Millisecond)
-	_, err = pool.Get(testContext(t), time.Minute, "")
+	_, err = pool.Get(testContext(t), Reuse{MaxIdle: time.Minute})
 	require.ErrorIs(t, err, io.ErrClosedPipe, "a new connection is opened")
 }
 
@@ -234,7 +234,7 @@
 	pool := Pool{Dial: func(context.Context) (net.Conn, error) { dials++; return nil, io.ErrClosedPipe }}
 	c.maxIdleTime = 0
 	pool.Put(c)
-	_, err := pool.Get(testContext(t), time.Minute, "")
+	_, err := pool.Get(testContext(t), Reuse{MaxIdle: time.Minute})
 	require.Error(t, err)
 	require.Equal(t, 1, dials)
 }
@@ -247,9 +247,9 @@
 	pool := Pool{Dial: func(context.Context) (net.Conn, error) { dials++; return nil, io.ErrClosedPipe }}
 	pool.Put(c)
 	time.Sleep(2 * time.Millisecond)
-	_, err := pool.Get(testContext(t), time.Millisecond, "")
+	_, err := pool.Get(testContext(t), Reuse{MaxIdle: time.Millisecond})
 	require.ErrorIs(t, err, io.ErrClosedPipe)
-	again, err := pool.Get(testContext(t), time.Minute, "")
+	again, err := pool.Get(testContext(t), Reuse{MaxIdle: time.Minute})
 	require.NoError(t, err)
 	require.Same(t, c, again)
 	require.Equal(t, 1, dials)
@@ -294,3 +294,19 @@
 		})
 	}
 }
+
+// TestRecentlyUsedConnectionIsNotChecked checks that only a connection that was idle for longer than
+// the caller allows is checked before it is used again.
+func TestRecentlyUsedConnectionIsNotChecked(t *testing.T) {
+	c, s := connect(t)
+	pool := Pool{Dial: func(context.Context) (net.Conn, error) { return nil, io.ErrClosedPipe }}
+	pool.Put(c)
+	_ = s.Close()
+	require.Eventually(t, func() bool { return !c.hasNoInput() }, testTimeout, time.Millisecond)
+	again, err := pool.Get(testContext(t), Reuse{MaxIdle: time.Minute, Unchecked: time.Minute})
+	require.NoError(t, err)
+	require.Same(t, c, again)
+	pool.Put(c)
+	_, err = pool.Get(testContext(t), Reuse{MaxIdle: time.Minute})
+	require.ErrorIs(t, err, io.ErrClosedPipe, "a new connection is opened")
+}
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -20,8 +20,6 @@
 	Body       *Body // nil if the request has none
 
 	conn            *serverConn
-	ctx             context.Context
-	cancel          context.CancelFunc
 	previousWritten <-chan struct{} // closed when the previous response has been written
 	written         chan struct{}
 	once            sync.Once
@@ -29,7 +27,6 @@
 
 func newExchange(c *serverConn, req *http.Request, limits RequestLimits) *ServerExchange {
 	x := &ServerExchange{Request: req, ReceivedAt: time.Now(), conn: c, written: make(chan struct{})}
-	x.ctx, x.cancel = context.WithCancel(c.ctx)
 	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
 		x.Body = newBody(x, limits, req.Header.Get("Expect") != "")
 	}
@@ -37,8 +34,9 @@
 	return x
 }
 
-// Context returns a context that ends when the client disconnects or the response has been written.
-func (x *ServerExchange) Context() context.Context { return x.ctx }
+// Context returns a context that ends when the client disconnects. It is that of the connection, so
+// what waits for its end must not outlast the exchange.
+func (x *ServerExchange) Context() context.Context { return x.conn.ctx }
 
 // ClientDisconnected reports whether the client has closed the connection.
 func (x *ServerExchange) ClientDisconnected() bool {
@@ -114,7 +112,6 @@
 	}
 	x.conn.exchangeEnded(x, failed)
 	close(x.written)
-	x.cancel()
 }
 
 func (x *ServerExchange) writeResponse(r *ServerResponse, closing bool) error {
--- a/httpwire/pool.go
+++ b/httpwire/pool.go
@@ -20,16 +20,27 @@
 	idle []*ClientConn
 }
 
-// Get returns a connection for a request with the given id, which may be empty: one that was idle
-// for at most maxIdle and has not carried the id before, or a new one. With a maxIdle of 0 it always
-// opens a new one.
-func (p *Pool) Get(ctx context.Context, maxIdle time.Duration, id string) (*ClientConn, error) {
-	for c := p.takeIdle(maxIdle); c != nil; c = p.takeIdle(maxIdle) {
-		if !c.hasNoInput() {
+// Reuse tells which idle connections a request may use.
+type Reuse struct {
+	// MaxIdle is how long a connection may have been idle; 0 opens a new one.
+	MaxIdle time.Duration
+	// Unchecked is how long a connection may have been idle to be used without a check for its end
+	// and for input, which costs a system call. If the connection has ended, the request may have been
+	// executed as far as the client knows, so it must be repeatable.
+	Unchecked time.Duration
+	// RequestID is the id of the request, which may be empty. A connection that has carried it before
+	// is not used.
+	RequestID string
+}
+
+// Get returns an idle connection, or a new one.
+func (p *Pool) Get(ctx context.Context, reuse Reuse) (*ClientConn, error) {
+	for c := p.takeIdle(reuse.MaxIdle); c != nil; c = p.takeIdle(reuse.MaxIdle) {
+		if time.Since(c.idleSince) > reuse.Unchecked && !c.hasNoInput() {
 			c.Close()
 			continue
 		}
-		if !c.hasCarried(id) {
+		if !c.hasCarried(reuse.RequestID) {
 			return c, nil
 		}
 		p.add(c)
