--- a/control/membership.go
+++ b/control/membership.go
@@ -93,6 +93,14 @@
 	delete(m.joins, id)
 }
 
+// removeMembers removes the requests of replicas that are members of the group. One that is sent
+// again while the replica is being added may arrive after removeJoin.
+func (m *membershipRequests) removeMembers(set *api.ReplicaSet) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.joins, func(_ uint64, join reconfig.JoinRequest) bool { return contains(set, join.Ref) })
+}
+
 // listJoins returns the join requests in the order of the replica ids. It evicts those not
 // renewed in the last minute.
 func (m *membershipRequests) listJoins(now time.Time) []reconfig.JoinRequest {
@@ -309,6 +317,7 @@
 		return
 	}
 	rc.trackLearners(now, v)
+	s.membershipRequests.removeMembers(v.status.ReplicaSet)
 	step := reconfig.NextChange(rc.groupState(now, v), rc.policy)
 	if step.Kind == reconfig.NoChange {
 		return
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -214,11 +214,25 @@
 func TestReplacedReplicaStops(t *testing.T) {
 	c := newDiscoveryCluster(t, 5)
 	c.startAll()
-	id := c.awaitVoters(c.addresses...)[c.addresses[3]]
-	stopped := c.addresses[3]
-	c.stop(stopped)
-	var leader *process
-	require.Eventually(t, func() bool {
+	c.awaitVoters(c.addresses...)
+	c.checkReplacedReplicaStops(c.addresses[3])
+}
+
+// TestLateJoinRequestIsForgotten guards against a replica that is added again after it was replaced,
+// because a join request that it had sent while it was being added arrived after that.
+func TestLateJoinRequestIsForgotten(t *testing.T) {
+	c := newDiscoveryCluster(t, 5)
+	c.startAll()
+	c.awaitVoters(c.addresses...)
+	joined := c.addresses[3]
+	reply, err := c.awaitLeader().server.Join(t.Context(), &api.JoinRequest{Replica: c.running[joined].server.self})
+	require.NoError(t, err)
+	require.True(t, reply.Leader)
+	c.checkReplacedReplicaStops(joined)
+}
+
+func (c *discoveryCluster) awaitLeader() (leader *process) {
+	require.Eventually(c.t, func() bool {
 		for _, p := range c.running {
 			if p.server.configGroup().view.Load().status.Role == raft.Leader {
 				leader = p
@@ -226,6 +240,14 @@
 		}
 		return leader != nil
 	}, testTimeout, 20*time.Millisecond)
+	return leader
+}
+
+// checkReplacedReplicaStops stops a voter, replaces it by a new one and starts it again.
+func (c *discoveryCluster) checkReplacedReplicaStops(stopped string) {
+	t, id := c.t, c.voters()[stopped]
+	c.stop(stopped)
+	leader := c.awaitLeader()
 	replacement := freeAddress(t)
 	p := c.start(replacement, false)
 	require.Eventually(t, func() bool {
