control: the leader takes no join request of a member

Change: Join ignores a replica that is a member; the check remains for a request that arrives between the proposal and the change of the replica set.

--- a/control/membership.go
+++ b/control/membership.go
@@ -93,8 +93,8 @@
 	delete(m.joins, id)
 }
 
-// removeMembers removes the requests of replicas that are members of the group. One that is sent
-// again while the replica is being added may arrive after removeJoin.
+// removeMembers removes the requests of replicas that are members of the group: one may arrive after
+// removeJoin, but before the replica is added.
 func (m *membershipRequests) removeMembers(set *api.ReplicaSet) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -125,7 +125,8 @@
 	if v.status.Role != raft.Leader {
 		return &api.JoinReply{LeaderAddress: v.status.Leader.GetAddress()}, nil
 	}
-	if ref := r.GetReplica(); ref.GetId() != 0 && s.membershipRequests.addJoin(ref, s.cfg.Clock()) {
+	// A member may have sent its request before it heard that it was added.
+	if ref := r.GetReplica(); ref.GetId() != 0 && !contains(v.status.ReplicaSet, ref) && s.membershipRequests.addJoin(ref, s.cfg.Clock()) {
 		s.cfg.Logger.Info().Uint64("replica", ref.Id).Str("disk_id", ref.DiskId).Str("address", ref.Address).
 			Str("availability_zone", ref.AvailabilityZone).Msg("replica asks to join")
 	}
