--- a/forward/call.go
+++ b/forward/call.go
@@ -68,6 +68,15 @@
 	return int64(len(c.body))
 }
 
+// connectionReuse returns which idle connections may carry the call.
+func (c *call) connectionReuse(maxIdle time.Duration) httpwire.Reuse {
+	r := httpwire.Reuse{MaxIdle: maxIdle, RequestID: c.id}
+	if c.kind.IsIdempotent() {
+		r.Unchecked = uncheckedIdleTime
+	}
+	return r
+}
+
 // clientRequest returns the call as an HTTP request with additional headers.
 func (c *call) clientRequest(set ...httpwire.HeaderField) *httpwire.ClientRequest {
 	return &httpwire.ClientRequest{
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -315,7 +315,7 @@
 	if !c.kind.IsIdempotent() {
 		idle = nonIdempotentMaxIdle
 	}
-	conn, err := l.pool.Get(ctx, reuse(c, idle))
+	conn, err := l.pool.Get(ctx, c.connectionReuse(idle))
 	if err != nil {
 		return l.connectFailure(ctx, err)
 	}
--- a/forward/peer_client.go
+++ b/forward/peer_client.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
@@ -40,20 +39,11 @@
 // request has not been executed.
 const continueThreshold = 8 << 10
 
-// reuse returns which idle connections a call may use.
-func reuse(c *call, maxIdle time.Duration) httpwire.Reuse {
-	r := httpwire.Reuse{MaxIdle: maxIdle, RequestID: c.id}
-	if c.kind.IsIdempotent() {
-		r.Unchecked = uncheckedIdleTime
-	}
-	return r
-}
-
 // sendToPeer forwards a call to the daemon on the VM of the selected upstream.
 func (f *Forwarder) sendToPeer(ctx context.Context, address string, c *call) *result {
 	f.metrics.peerAttempts.Inc()
 	pool := f.peers.pool(address)
-	conn, err := pool.Get(ctx, reuse(c, peerIdleTimeout))
+	conn, err := pool.Get(ctx, c.connectionReuse(peerIdleTimeout))
 	if err != nil {
 		if ctx.Err() != nil {
 			return &result{failure: chain.FailureFromContext(ctx, chain.NotRun, "cancelled or expired before a connection to the upstream's daemon was open")}
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -98,7 +98,7 @@
 	reader        *bufio.Reader
 	written       atomic.Int64
 	exchanges     int
-	parsed        http.Request        // tells the parser of responses the method of the request
+	parserRequest http.Request        // tells the parser of responses the method of the request
 	requestIDs    map[uint64]struct{} // hashes of the ids of the requests so far
 	inExchange    atomic.Bool         // the response has not been read to its end
 	unusable      atomic.Bool
@@ -280,9 +280,9 @@
 func (c *ClientConn) readResponse(req *ClientRequest) (*ClientResponse, error) {
 	c.limitedSource.setLimit(max(maxResponseHead-c.reader.Buffered(), 0))
 	defer c.limitedSource.clearLimit()
-	c.parsed.Method = req.Method
+	c.parserRequest.Method = req.Method
 	for mismatched := 0; mismatched <= maxMismatched; {
-		resp, err := http.ReadResponse(c.reader, &c.parsed)
+		resp, err := http.ReadResponse(c.reader, &c.parserRequest)
 		switch {
 		case c.limitedSource.exceeded:
 			return nil, ErrResponseHeadTooLarge
