review: case 2, a lost removal of a log file after a loss of power

None starts: the previous segment is missing. The acknowledged configuration does not come back within 20 s.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,8 @@
 type caseFunc func(ctx context.Context, r *record, trouble bool) (broken string, err error)
 
 var cases = map[string]caseFunc{
-	"log-memory": playLogMemory,
+	"lost-removal": playLostRemoval,
+	"log-memory":   playLogMemory,
 }
 
 // caseTimeout bounds a case, with the start and the end of its processes.
