review: case 3, 100 Continue in the middle of another answer

A script: a client sends a GET and, while its answer of 3.2 MB arrives, a second idempotent request that expects 100 Continue. The interim answer is written into the body of the first answer, which stays complete by its length.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,8 +19,9 @@
 type caseFunc func(ctx context.Context, r *record, trouble bool) (broken string, err error)
 
 var cases = map[string]caseFunc{
-	"lost-removal": playLostRemoval,
-	"log-memory":   playLogMemory,
+	"pipelined-expect": playPipelinedExpect,
+	"lost-removal":     playLostRemoval,
+	"log-memory":       playLogMemory,
 }
 
 // caseTimeout bounds a case, with the start and the end of its processes.
