review: case 4, a late report after the restart of a daemon

A script: a backend sends DELETE, which is confirmed; its daemon is killed and started again; a report that the backend wrote before arrives late. The daemon takes the backend for ready, and 39 to 43 orders of 4 s reach it more than the drain time after the confirmation; 3 or 4 of them get no success.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 type caseFunc func(ctx context.Context, r *record, trouble bool) (broken string, err error)
 
 var cases = map[string]caseFunc{
+	"late-report":      playLateReport,
 	"pipelined-expect": playPipelinedExpect,
 	"lost-removal":     playLostRemoval,
 	"log-memory":       playLogMemory,
