review: case 5, slow uploads reach a backend that has left

A script: eight uploads of 1.5 MB at 300 KB/s; half a second after their start one of two backends reports draining, which is confirmed. Four uploads reach it 2.9 s after the confirmation and end with 502 when it exits.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]caseFunc{
 	"late-report":      playLateReport,
+	"slow-upload":      playSlowUpload,
 	"pipelined-expect": playPipelinedExpect,
 	"lost-removal":     playLostRemoval,
 	"log-memory":       playLogMemory,
