--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -78,10 +77,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
-	body, _ := json.Marshal(map[string]any{ // plain values
-		"service": b.service, "address": b.vm.addr(portUpstream), "zone": b.vm.zone, "version": "v1", "slots": b.slots,
-		"state": state, "warmup_left": "0ms", "sequence": b.sequence, "born": b.born,
-	})
+	body := fmt.Appendf(nil, reportFormat, b.service, b.vm.addr(portUpstream), b.vm.zone, b.slots, state, b.sequence, b.born)
 	return report{b.sequence, state, body}
 }
 
@@ -111,7 +107,7 @@
 func (b *backend) call(method string, body []byte, what string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.vm.addr(portControl)+"/v1/instances/"+b.id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.vm.addr(portControl)+names.InstancesPath+b.id, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -133,16 +129,16 @@
 	leaving := b.leaving
 	b.mu.Unlock()
 	if r.URL.Path == "/healthz" {
-		w.Header().Set("Instance-Id", b.id)
+		w.Header().Set(names.Responder, b.id)
 		if leaving {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
-	if target := r.Header.Get("Target-Instance"); target != "" && target != b.id {
-		w.Header().Set("Instance-Id", b.id)
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	if target := r.Header.Get(names.Target); target != "" && target != b.id {
+		w.Header().Set(names.Responder, b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -160,13 +156,13 @@
 	b.mu.Lock()
 	b.runs = append(b.runs, arrival{id, time.Now()})
 	b.mu.Unlock()
-	b.vm.d.record.add("run", "%s runs %s (%s, caller service %s)", b.id, id, r.Method, r.Header.Get("Caller-Service"))
+	b.vm.d.record.add("run", "%s runs %s (%s, caller service %s)", b.id, id, r.Method, r.Header.Get(names.Caller))
 	time.Sleep(b.workTime)
 	body := answerBody(id, payload)
 	if strings.HasSuffix(r.URL.Path, largePath) {
 		body = strings.Repeat(body, largeRepeat)
 	}
-	w.Header().Set("Server-Signature", signature(b.id, body))
+	w.Header().Set(names.Signature, signature(b.id, body))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	for len(body) > 0 {
 		n := min(len(body), 64<<10)
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -43,8 +43,8 @@
 	}
 	req.GetBody = nil // a client doesn't repeat an attempt by itself
 	req.Host = service + ".example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", "5000")
+	req.Header.Set(names.RequestID, id)
+	req.Header.Set(names.Deadline, "5000")
 	req.Close = true
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 6 * time.Second}
 	resp, err := client.Do(req)
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -82,7 +81,7 @@
 		d.controls = append(d.controls, d.newVM(fmt.Sprintf("core-%d", i+1), i, "fleet-control", ""))
 	}
 	for i, s := range services {
-		d.daemons = append(d.daemons, d.newVM(fmt.Sprintf("sidecar-%d", i+1), 3+i, "fleet-daemon", s))
+		d.daemons = append(d.daemons, d.newVM(fmt.Sprintf("daemon-%d", i+1), 3+i, "fleet-daemon", s))
 	}
 	return d, nil
 }
@@ -112,39 +111,23 @@
 
 // writeSettings writes the settings file of a VM with the fields that the platform provides.
 func (v *vm) writeSettings(bootstrap bool) error {
-	seeds := []string{}
-	for _, c := range v.d.controls {
-		seeds = append(seeds, fmt.Sprintf("%q", c.addr(portControl)))
-	}
-	var b strings.Builder
-	class, serves, memory := "sidecar", "sidecar", 284
-	if v.service == "" {
-		class, serves, memory = "core", "control_plane", 280
+	fields := map[string]any{
+		"Name": v.name, "Service": v.service, "IP": v.ip, "Zone": v.zone, "Bootstrap": bootstrap,
+		"Upstream": v.addr(portUpstream), "Control": v.addr(portControl), "Peer": v.addr(portPeer), "Ingress": v.addr(portIngress), "Ready": v.addr(portReady),
+		"DataDir": filepath.Join(v.d.dir, v.name+".data"), "FirstPort": portInternal, "LastPort": portInternal + 15,
 	}
-	fmt.Fprintf(&b, "[self]\nnode_name = %q\nrole = %q\nmachine_class = %q\nserves = [%q]\nip = %q\nzone = %q\nregion = %q\nfault_counted = %t\nbootstrap = %t\n",
-		v.name, class, class, serves, v.ip, v.zone, region, v.service == "", bootstrap)
-	if v.service == "" {
-		fmt.Fprintf(&b, "data_dir = %q\n", filepath.Join(v.d.dir, v.name+".data"))
-	} else {
-		fmt.Fprintf(&b, "app_addr = %q\nservice = %q\n", v.addr(portUpstream), v.service)
+	var seeds []string
+	for _, c := range v.d.controls {
+		seeds = append(seeds, c.addr(portControl))
 	}
-	fmt.Fprintf(&b, "[self.limits]\ncpu_share = 0.64\ncpu_cores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 256\n", memory)
-	fmt.Fprintf(&b, "[network]\ninternal_ports = [%d,%d]\nseeds = [%s]\n[network.listen_addrs]\ncontrol = %q\n", portInternal, portInternal+15, strings.Join(seeds, ","), v.addr(portControl))
-	if v.service != "" {
-		fmt.Fprintf(&b, "inbound = %q\noutbound = %q\nready = %q\n", v.addr(portPeer), v.addr(portIngress), v.addr(portReady))
+	fields["Seeds"] = seeds
+	var text bytes.Buffer
+	if err := settingsTemplate.Execute(&text, fields); err != nil {
+		return err
 	}
-	fmt.Fprintf(&b, "[network.zones]\nquimper = %[1]q\nbrest = %[1]q\nconcarneau = %[1]q\n", region)
-	fmt.Fprintf(&b, "[platform]\ndiscovery = \"static\"\nentry_mode = \"static\"\nheartbeat = \"%dms\"\n", heartbeat.Milliseconds())
-	fmt.Fprintf(&b, "[terms]\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"pressure\"]\n[terms.fault_tolerance]\nmachines = 1\nzones = 0\nregions = 0\n")
-	fmt.Fprintf(&b, "[terms.bounds]\nseed_lag = \"3s\"\naddr_reuse = \"2s\"\nstable_window = \"%dms\"\nack = \"4000ms\"\ncatch_up = \"4s\"\ndrain = \"%dms\"\ngrace = \"%dms\"\nloss_slack = \"200ms\"\n",
-		stableWindow.Milliseconds(), drainBound.Milliseconds(), gracePeriod.Milliseconds())
-	fmt.Fprintf(&b, "config_apply = \"2000ms\"\nrollback_slack = \"250ms\"\nmax_stretch = \"5000ms\"\nretry_budget_ratio = 0.2\nbudget_window = \"10s\"\nretry_budget_slack = 49\nrecovery = \"15s\"\n")
-	return os.WriteFile(v.settingsPath(), []byte(b.String()), 0o600)
+	return os.WriteFile(v.settingsPath(), text.Bytes(), 0o600)
 }
 
-// region is the region of all zones of the deployment.
-const region = "finistere"
-
 // start starts the process of a VM with the command of the deploy file. Its output goes to a file
 // in the deployment's folder.
 func (v *vm) start() error {
@@ -153,7 +136,7 @@
 		return err
 	}
 	cmd := exec.Command("target/bilberrydeck", v.command)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "BILBERRYDECK_NODE_FILE=" + v.settingsPath()}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", names.SettingsVariable + "=" + v.settingsPath()}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -243,54 +226,23 @@
 	_ = os.RemoveAll(d.dir) // a folder of this run
 }
 
-// route is a route of the configuration that the operator sends.
-type route struct {
-	Name     string `json:"name"`
-	Host     string `json:"host"`
-	Prefix   string `json:"path_prefix"`
-	Type     string `json:"route_type"`
-	Timeout  string `json:"timeout"`
-	Target   string `json:"target_latency"`
-	Priority int    `json:"priority"`
-	Service  string `json:"service"`
-	Attempts int    `json:"max_attempts"`
-}
-
-func newRoute(service, kind string) route {
-	return route{
-		Name: service + "-" + kind, Host: service + ".example", Prefix: "/" + kind + "/", Type: kind,
-		Timeout: fmt.Sprintf("%dms", routeTimeout.Milliseconds()), Target: "1500ms", Service: service, Attempts: 2,
-	}
-}
-
 // configuration returns a configuration with a route of each type for each service.
 func configuration(version int, services ...string) []byte {
-	type service struct {
-		Name           string `json:"name"`
-		HealthPath     string `json:"health_path"`
-		MaxConnections int    `json:"max_connections"`
-		Protocol       string `json:"protocol"`
-		TLS            bool   `json:"tls"`
-	}
-	doc := struct {
-		Version  int            `json:"version"`
-		Routes   []route        `json:"routes"`
-		Services []service      `json:"services"`
-		Limits   map[string]any `json:"limits"`
-	}{Version: version, Limits: map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"}}
+	var routes, list []string
 	for _, s := range services {
-		doc.Routes = append(doc.Routes, newRoute(s, "idempotent"), newRoute(s, "non_idempotent"), newRoute(s, "upload"))
-		doc.Services = append(doc.Services, service{Name: s, HealthPath: "/healthz", MaxConnections: 500, Protocol: "h1"})
+		for _, kind := range []string{"idempotent", "non_idempotent", "upload"} {
+			routes = append(routes, fmt.Sprintf(routeFormat, s+"-"+kind, s+".example", "/"+kind+"/", kind, routeTimeout.Milliseconds(), 1500, 0, s))
+		}
+		list = append(list, fmt.Sprintf(serviceFormat, s))
 	}
-	text, _ := json.Marshal(doc) // plain values
-	return text
+	return fmt.Appendf(nil, configFormat, version, strings.Join(routes, ","), strings.Join(list, ","))
 }
 
 // putConfig sends a configuration to the control VMs until one accepts it.
 func (d *deployment) putConfig(ctx context.Context, base int, text []byte) error {
 	client := &http.Client{Timeout: 3 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+d.controls[i%len(d.controls)].addr(portControl)+"/v1/config", bytes.NewReader(text))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+d.controls[i%len(d.controls)].addr(portControl)+names.ConfigPath, bytes.NewReader(text))
 		if err != nil {
 			return err
 		}
@@ -316,7 +268,7 @@
 // readConfig reads the configuration from a control VM.
 func readConfig(v *vm) ([]byte, error) {
 	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + v.addr(portControl) + "/v1/config")
+	resp, err := client.Get("http://" + v.addr(portControl) + names.ConfigPath)
 	if err != nil {
 		return nil, err
 	}
@@ -336,7 +288,7 @@
 			if ctx.Err() != nil {
 				return fmt.Errorf("%s did not become ready", v.name)
 			}
-			if resp, err := client.Get("http://" + v.addr(portReady) + "/v1/readyz"); err == nil {
+			if resp, err := client.Get("http://" + v.addr(portReady) + names.ReadyPath); err == nil {
 				_ = resp.Body.Close() // only the status matters
 				if resp.StatusCode == http.StatusOK {
 					break
--- a/review/standin/log_memory.go
+++ b/review/standin/log_memory.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -76,6 +77,7 @@
 	d        *deployment
 	routes   []string
 	services string
+	first    string // the service of the route that changes
 	version  atomic.Int64
 	sent     atomic.Int64
 	accepted atomic.Int64
@@ -87,7 +89,8 @@
 	var list []string
 	for range services {
 		service := randomWord(7)
-		list = append(list, fmt.Sprintf(`{"name":%q,"health_path":"/healthz","max_connections":%d,"protocol":"h1","tls":false}`, service, 100+rand.IntN(900)))
+		c.first = service // any of them
+		list = append(list, fmt.Sprintf(serviceFormat, service))
 		for range routesPerService {
 			c.routes = append(c.routes, c.route(service, randomWord(6)+".example"))
 		}
@@ -100,8 +103,7 @@
 }
 
 func (c *changes) route(service, host string) string {
-	return fmt.Sprintf(`{"name":"r-%s","host":%q,"path_prefix":"/%s/","route_type":"idempotent","timeout":"%dms","target_latency":"%dms","priority":%d,"service":%q,"max_attempts":2}`,
-		randomWord(7), host, randomWord(7), 1000+100*rand.IntN(50), 500+100*rand.IntN(20), rand.IntN(3), service)
+	return fmt.Sprintf(routeFormat, "r-"+randomWord(7), host, "/"+randomWord(7)+"/", "idempotent", 1000+100*rand.IntN(50), 500+100*rand.IntN(20), rand.IntN(3), service)
 }
 
 const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
@@ -114,24 +116,11 @@
 	return string(b)
 }
 
-// configuration returns the configuration of a version: one route has another timeout each time.
+// configuration returns the configuration of a version: one route is another one each time.
 func (c *changes) configuration(version int64) []byte {
-	i := rand.IntN(len(c.routes))
-	var b bytes.Buffer
-	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
-	for k, r := range c.routes {
-		if k > 0 {
-			b.WriteByte(',')
-		}
-		if k == i {
-			at := strings.Index(r, `"timeout":"`) + len(`"timeout":"`)
-			end := at + strings.IndexByte(r[at:], '"')
-			r = r[:at] + fmt.Sprintf("%dms", 1000+rand.IntN(5000)) + r[end:]
-		}
-		b.WriteString(r)
-	}
-	fmt.Fprintf(&b, `],"services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`, c.services)
-	return b.Bytes()
+	routes := slices.Clone(c.routes)
+	routes[rand.IntN(len(routes))] = c.route(c.first, randomWord(6)+".example")
+	return fmt.Appendf(nil, configFormat, version, strings.Join(routes, ","), c.services)
 }
 
 // play sends orders until the rule is broken, the day's orders have been sent or the time is over.
@@ -156,7 +145,7 @@
 // order sends one order to the leader. After a failure it moves on to another control VM.
 func (c *changes) order(ctx context.Context, client *http.Client) {
 	base := c.version.Load()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+*c.leader.Load()+"/v1/config", bytes.NewReader(c.configuration(base+1)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+*c.leader.Load()+names.ConfigPath, bytes.NewReader(c.configuration(base+1)))
 	if err != nil {
 		return
 	}
--- a/review/standin/lost_removal.go
+++ b/review/standin/lost_removal.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -181,7 +180,7 @@
 	base, _ := o.newest()
 	text := largeConfiguration(base + 1)
 	o.sent.Add(1)
-	req, err := http.NewRequest(http.MethodPut, "http://"+v.addr(portControl)+"/v1/config", bytes.NewReader(text))
+	req, err := http.NewRequest(http.MethodPut, "http://"+v.addr(portControl)+names.ConfigPath, bytes.NewReader(text))
 	if err != nil {
 		return
 	}
@@ -210,23 +209,11 @@
 
 // largeConfiguration returns a configuration with many routes whose names are random.
 func largeConfiguration(version int) []byte {
-	doc := struct {
-		Version  int              `json:"version"`
-		Routes   []route          `json:"routes"`
-		Services []map[string]any `json:"services"`
-		Limits   map[string]any   `json:"limits"`
-	}{
-		Version:  version,
-		Services: []map[string]any{{"name": "orders", "health_path": "/healthz", "max_connections": 500, "protocol": "h1", "tls": false}},
-		Limits:   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
-	}
+	routes := make([]string, 0, ordersRoutes)
 	for range ordersRoutes {
-		r := newRoute("orders", "idempotent")
-		r.Name, r.Prefix = "r-"+randomName(), "/"+randomName()+"/"
-		doc.Routes = append(doc.Routes, r)
+		routes = append(routes, fmt.Sprintf(routeFormat, "r-"+randomName(), "orders.example", "/"+randomName()+"/", "idempotent", routeTimeout.Milliseconds(), 1500, 0, "orders"))
 	}
-	text, _ := json.Marshal(doc) // plain values
-	return text
+	return fmt.Appendf(nil, configFormat, version, strings.Join(routes, ","), fmt.Sprintf(serviceFormat, "orders"))
 }
 
 func randomName() string {
--- a/review/standin/pipelined_expect.go
+++ b/review/standin/pipelined_expect.go
@@ -68,7 +68,7 @@
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
 	first, second, payload := name+"-first", name+"-second", "0123456789"
 	v.d.record.add("send", "%s GET, answer of %d bytes; %s POST, expects 100 Continue: %t", first, 64*largeRepeat, second, expect)
-	head := "Host: lookups.example\r\nDeadline-Ms: 6000\r\nAttempt-Id: "
+	head := "Host: lookups.example\r\n" + names.Deadline + ": 6000\r\n" + names.RequestID + ": "
 	if _, err := fmt.Fprintf(c, "GET /idempotent%s HTTP/1.1\r\n%s%s\r\n\r\n", largePath, head, first); err != nil {
 		return "", err
 	}
@@ -115,8 +115,8 @@
 			return fmt.Sprintf("the answer to %s is incomplete", id)
 		case resp.StatusCode != http.StatusOK:
 			return fmt.Sprintf("%s got %d", id, resp.StatusCode)
-		case resp.Header.Get("Attempt-Id") != id:
-			return fmt.Sprintf("the answer to %s belongs to %s", id, resp.Header.Get("Attempt-Id"))
+		case resp.Header.Get(names.RequestID) != id:
+			return fmt.Sprintf("the answer to %s belongs to %s", id, resp.Header.Get(names.RequestID))
 		case string(body) != want:
 			at := 0
 			for at < len(body) && body[at] == want[at] {
--- a/review/standin/slow_upload.go
+++ b/review/standin/slow_upload.go
@@ -137,7 +137,8 @@
 		}
 		answered <- resp.StatusCode
 	}()
-	_, err = fmt.Fprintf(c, "POST /upload/1 HTTP/1.1\r\nHost: %s.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", service, id, uploadLimit.Milliseconds(), uploadBytes)
+	_, err = fmt.Fprintf(c, "POST /upload/1 HTTP/1.1\r\nHost: %s.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
+		service, names.RequestID, id, names.Deadline, uploadLimit.Milliseconds(), uploadBytes)
 	ticker := time.NewTicker(uploadTick)
 	defer ticker.Stop()
 	part := bytes.Repeat([]byte("0123456789"), uploadPerTick/10)
