lifecycle, forward: an upstream is ready only once a health check shows that it is not leaving

Cause: the departure was known to one process of the daemon only. The next one took a late heartbeat (ready, sent before the departure) as the truth: its log has 'upstream found by a health check ready=false' and then 'upstream report state=ready verdict=taken'. A health check only found upstreams; it did not judge heartbeats.

Ruled out by the logs of the processes: requests admitted before the restart (the executions begin after the late heartbeat); daemons with an old table (the daemon of the upstream itself admitted the requests). Replicating departures alone is not enough, since a daemon may be killed between its acknowledgement and the replication.

Change: core/lifecycle calls an incarnation ready only after a health check that began after all departures that it has observed; until then it is unconfirmed and gets no request. Rejected, unanswered and overtaken checks say nothing and are repeated. Without a configuration no check is possible, and heartbeats are taken at their word until it is. The same rule covers a draining heartbeat, a late heartbeat before the first check, a deregistration that is the first news of an upstream, and a response to a check that precedes a departure. New: key upstream_state, event 'upstream health check', metric bilberry_upstream_checks_total. The fake upstreams of the tests answer health checks; the one of the soak no longer says that it is healthy while it leaves, and the soak has the fault itself.

--- a/core/lifecycle/tracker.go
+++ b/core/lifecycle/tracker.go
@@ -1,6 +1,11 @@
-// Package lifecycle tracks the upstream on the VM of a daemon by its heartbeats: which
-// incarnation is the current one, and whether it accepts requests. Heartbeats may arrive
-// late, out of order and from incarnations that have ended.
+// Package lifecycle tracks the upstream on the VM of a daemon by its heartbeats and health
+// checks: which incarnation is the current one, and whether it accepts requests. Heartbeats may
+// arrive late, out of order and from incarnations that are leaving or have ended.
+//
+// Invariant: once a health check is possible, an incarnation becomes Ready only by a health check
+// that began after all departures that the tracker has observed. A daemon that was restarted does
+// not know the departures that its predecessor acknowledged, and a heartbeat does not say when it
+// was sent; the upstream itself knows whether it is leaving.
 package lifecycle
 
 import "time"
@@ -10,12 +15,13 @@
 
 // The states of an upstream.
 const (
-	Absent   State = iota // no incarnation is known, or the last one deregistered
-	Ready                 // accepts requests
-	Draining              // completes its requests in flight and deregisters
+	Absent      State = iota // no incarnation is known, or the last one deregistered
+	Ready                    // accepts requests
+	Draining                 // completes its requests in flight and deregisters
+	Unconfirmed              // it may be leaving: no health check has confirmed its heartbeats yet
 )
 
-var stateNames = [...]string{"absent", "ready", "draining"}
+var stateNames = [...]string{"absent", "ready", "draining", "unconfirmed"}
 
 // String returns the name used in logs.
 func (s State) String() string { return stateNames[s] }
@@ -83,13 +89,25 @@
 	WarmUntil   time.Time // end of the warm-up
 }
 
+// confirmation says how it is known that an incarnation which reports to be ready is not leaving.
+type confirmation uint8
+
+const (
+	unconfirmed confirmation = iota // not known: a health check has to confirm it
+	assumed                         // no health check has been possible
+	confirmed                       // by a health check, or because the upstream has no usable one
+)
+
 // Tracker tracks the current incarnation of the upstream. It is not safe for concurrent use.
 type Tracker struct {
 	service       string
-	current       Incarnation
+	current       Incarnation // with the state that its last heartbeat reported
+	confirmation  confirmation
 	sequence      uint64
 	lastHeartbeat time.Time
 	deregistered  bool
+	departures    uint64 // number of observed departures: draining heartbeats and deregistrations
+	lastDeparted  string // id that deregistered last, whether or not it was the current one
 	responder     string // id that responded in place of the current incarnation, empty if none did
 }
 
@@ -101,15 +119,21 @@
 	if t.deregistered {
 		return Incarnation{ID: t.current.ID, StartedAtMs: t.current.StartedAtMs}
 	}
-	return t.current
+	u := t.current
+	if u.State == Ready && t.confirmation == unconfirmed {
+		u.State = Unconfirmed
+	}
+	return u
 }
 
 // LastHeartbeat returns the time of the last accepted heartbeat.
 func (t *Tracker) LastHeartbeat() time.Time { return t.lastHeartbeat }
 
 // Observe processes a heartbeat. After an incarnation has deregistered, its heartbeats are
-// stale.
-func (t *Tracker) Observe(now time.Time, h Heartbeat) HeartbeatResult {
+// stale. checkable is set if the upstream's health can be checked. Until it can, for example
+// before the first configuration, a heartbeat is taken at its word, so that an outage of control
+// does not take upstreams out of service.
+func (t *Tracker) Observe(now time.Time, h Heartbeat, checkable bool) HeartbeatResult {
 	if h.Service != t.service {
 		return WrongService
 	}
@@ -124,20 +148,36 @@
 	case !sameIncarnation && h.StartedAtMs == t.current.StartedAtMs && t.current.ID != "" && h.ID < t.current.ID:
 		return Stale // ids order incarnations that started in the same millisecond
 	}
+	if h.State == Draining {
+		t.departures++
+	}
 	if sameIncarnation && t.current.State == Draining {
 		h.State = Draining
 	}
 	if sameIncarnation {
 		h.Sequence = max(h.Sequence, t.sequence)
+	} else if !t.foundByHealthCheck(h.ID) {
+		t.confirmation = unconfirmed
+	}
+	if t.confirmation == unconfirmed && !checkable && h.ID != t.lastDeparted {
+		t.confirmation = assumed
 	}
 	t.current = Incarnation{ID: h.ID, StartedAtMs: h.StartedAtMs, State: h.State, Slots: h.Slots, WarmUntil: now.Add(h.WarmUp)}
 	t.sequence, t.lastHeartbeat, t.deregistered, t.responder = h.Sequence, now, false, ""
 	return Accepted
 }
 
+// foundByHealthCheck reports whether the current incarnation has the given id, was found by a health
+// check and has not left since. The heartbeat of such an id adds the start of the incarnation.
+func (t *Tracker) foundByHealthCheck(id string) bool {
+	return id == t.current.ID && t.current.StartedAtMs == 0 && !t.deregistered
+}
+
 // Deregister records that an incarnation has deregistered. It reports whether that was the
 // current one.
 func (t *Tracker) Deregister(id string) bool {
+	t.departures++
+	t.lastDeparted = id
 	if id != t.current.ID || t.current.ID == "" {
 		return false
 	}
@@ -145,19 +185,54 @@
 	return true
 }
 
-// ObserveHealthCheck processes the id of an incarnation that responded to a health check. It
-// lets a daemon that starts while the upstream is already running serve before the first
-// heartbeat. It reports whether the incarnation became the current one, which is the case only
-// if none was known.
-func (t *Tracker) ObserveHealthCheck(id string, slots int, ready bool) bool {
-	if t.current.ID != "" || id == "" {
-		return false
+// HealthCheck is a health check of the upstream that has begun.
+type HealthCheck struct{ departures uint64 }
+
+// HealthCheckResult is what a health check says about the upstream that responded.
+type HealthCheckResult uint8
+
+// The results of a health check that got a response.
+const (
+	CheckNotReady HealthCheckResult = iota // the upstream is leaving or unhealthy
+	CheckReady                             // the upstream is not leaving
+	CheckUnusable                          // the upstream has no health check, so the heartbeats have to do
+)
+
+var checkResultNames = [...]string{"not-ready", "ready", "unusable"}
+
+// String returns the name used in logs and metrics.
+func (r HealthCheckResult) String() string { return checkResultNames[r] }
+
+// NeedsHealthCheck reports whether a health check would tell something: no incarnation is known,
+// for example because this daemon has just been restarted, or none has confirmed the current one.
+func (t *Tracker) NeedsHealthCheck() bool {
+	if t.current.ID == "" {
+		return true
+	}
+	return !t.deregistered && t.current.State == Ready && t.confirmation != confirmed
+}
+
+// BeginHealthCheck returns a health check that is about to be sent.
+func (t *Tracker) BeginHealthCheck() HealthCheck { return HealthCheck{departures: t.departures} }
+
+// ObserveHealthCheck processes the result of a health check and the id of the incarnation that
+// responded, empty if the response did not state it. A result is ignored if a departure was
+// observed since the check began, because the response may precede the departure.
+func (t *Tracker) ObserveHealthCheck(check HealthCheck, id string, slots int, result HealthCheckResult) {
+	if check.departures != t.departures || !t.NeedsHealthCheck() {
+		return
 	}
-	t.current = Incarnation{ID: id, State: Ready, Slots: slots}
-	if !ready {
-		t.current.State = Draining
+	other := id != "" && id != t.current.ID && result != CheckUnusable
+	switch {
+	case other:
+		t.current, t.sequence = Incarnation{ID: id, State: Ready, Slots: slots}, 0
+	case t.current.ID == "":
+		return // the response does not say which upstream runs here
+	}
+	t.confirmation = confirmed
+	if result == CheckNotReady {
+		t.confirmation = unconfirmed
 	}
-	return true
 }
 
 // ObserveReplacement records that another incarnation responded at the address of the current
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -339,7 +339,9 @@
 	gone := newFakeUpstream(t, "i-gone", nil)
 	f := newTestFleet(t, ordersTable(), restarted, gone)
 	f.daemons[1].DeregisterUpstream("i-gone")
+	restarted.setHealth(func(req *http.Request, c net.Conn) { restarted.respond(c, req, 200, "", "X-Instance: i-new") })
 	f.daemons[0].HandleHeartbeat(lifecycle.Heartbeat{ID: "i-new", StartedAtMs: 2, Sequence: 1, Service: "orders", State: lifecycle.Ready, Slots: testSlots})
+	f.awaitState(0, lifecycle.Ready)
 	for daemon := range 2 {
 		resp, body := f.send(daemon, testRequest{kind: routing.NonIdempotent})
 		require.Equal(t, 200, resp.StatusCode)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -39,11 +39,18 @@
 	id      string
 	address string
 	handle  func(req *http.Request, c net.Conn)
+	health  atomic.Pointer[healthHandler] // nil responds with status 200 and the id
 
 	mu       sync.Mutex
 	received []*http.Request
 }
 
+// healthHandler handles a health check, which does not count as a received request.
+type healthHandler func(req *http.Request, c net.Conn)
+
+// healthPath is the path of health checks in the tables of the tests.
+const healthPath = "/healthz"
+
 func newFakeUpstream(t testing.TB, id string, handle func(*http.Request, net.Conn)) *fakeUpstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -72,6 +79,10 @@
 		}
 		body, _ := io.ReadAll(req.Body) // the test checks for an incomplete body
 		req.Body = io.NopCloser(strings.NewReader(string(body)))
+		if req.URL.Path == healthPath {
+			u.serveHealthCheck(req, c)
+			continue
+		}
 		u.mu.Lock()
 		u.received = append(u.received, req)
 		u.mu.Unlock()
@@ -83,6 +94,17 @@
 	}
 }
 
+func (u *fakeUpstream) serveHealthCheck(req *http.Request, c net.Conn) {
+	if handle := u.health.Load(); handle != nil {
+		(*handle)(req, c)
+		return
+	}
+	u.respond(c, req, http.StatusOK, "", "X-Instance: "+u.id)
+}
+
+// setHealth sets the handler of health checks.
+func (u *fakeUpstream) setHealth(h healthHandler) { u.health.Store(&h) }
+
 // respond writes a response that echoes the id of the request.
 func (u *fakeUpstream) respond(c net.Conn, req *http.Request, status int, body string, headers ...string) {
 	u.respondTo(c, req, status, body, headers...)
@@ -128,7 +150,22 @@
 	return testClock()
 }
 
+// startDaemon starts the daemon of an upstream, which sends its first heartbeat.
 func (f *testFleet) startDaemon(i int, u *fakeUpstream) {
+	f.daemons, f.stop, f.stopped = append(f.daemons, nil), append(f.stop, nil), append(f.stopped, nil)
+	f.launchDaemon(i, u)
+	f.daemons[i].HandleHeartbeat(readyHeartbeat(u.id, 1, testSlots))
+}
+
+// restartDaemon stops a daemon and starts another one for the same upstream, which has received
+// neither heartbeats nor a configuration.
+func (f *testFleet) restartDaemon(i int, u *fakeUpstream) {
+	f.stop[i]()
+	<-f.stopped[i]
+	f.launchDaemon(i, u)
+}
+
+func (f *testFleet) launchDaemon(i int, u *fakeUpstream) {
 	d, err := New(context.Background(), Config{
 		IngressAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", UpstreamAddress: u.address, Service: "orders",
 		Region: "north", AvailabilityZone: fmt.Sprint("zone-", i), HeaderNames: testHeaderNames,
@@ -146,8 +183,13 @@
 		cancel()
 		<-ended
 	})
-	f.daemons, f.stop, f.stopped = append(f.daemons, d), append(f.stop, cancel), append(f.stopped, ended)
-	d.HandleHeartbeat(readyHeartbeat(u.id, 1, testSlots))
+	f.daemons[i], f.stop[i], f.stopped[i] = d, cancel, ended
+}
+
+// awaitState waits until a daemon has its upstream in a state.
+func (f *testFleet) awaitState(daemon int, state lifecycle.State) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.daemons[daemon].local.current().State == state }, testTimeout, time.Millisecond)
 }
 
 func readyHeartbeat(id string, sequence uint64, slots int) lifecycle.Heartbeat {
@@ -168,7 +210,7 @@
 
 // ordersTable has one route of each kind, with the kind's name as prefix.
 func ordersTable() *routing.Table {
-	t := &routing.Table{Version: 1, Services: []routing.Service{{Name: "orders", HealthPath: "/healthz"}}}
+	t := &routing.Table{Version: 1, Services: []routing.Service{{Name: "orders", HealthPath: healthPath}}}
 	for _, kind := range []routing.RouteKind{routing.Idempotent, routing.NonIdempotent, routing.Upload} {
 		t.Routes = append(t.Routes, routing.Route{
 			Name: kind.String(), Host: "shop.example", Prefix: "/" + kind.String() + "/", Kind: kind, Timeout: 2 * time.Second,
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -29,9 +29,12 @@
 	mu           sync.Mutex
 	tracker      *lifecycle.Tracker
 	unreachable  bool // connecting to the upstream fails
+	checkFailed  bool // a health check has ended without confirming the current incarnation
 	onChange     func(LocalUpstream)
 	lastNotified LocalUpstream // state last passed to onChange
 
+	checkNow chan struct{} // receives a value when the health of the upstream is to be checked at once
+
 	queue                  atomic.Pointer[admissionqueue.Queue] // nil before the upstream is ready
 	stopping               atomic.Bool                          // the daemon is shutting down and accepts no new calls
 	shutdownDeadline       atomic.Pointer[time.Time]            // end of all execution, nil before a shutdown
@@ -53,7 +56,7 @@
 }
 
 func newUpstreamProxy(f *Forwarder) *upstreamProxy {
-	l := &upstreamProxy{f: f, tracker: lifecycle.NewTracker(f.cfg.Service), ctx: context.Background()}
+	l := &upstreamProxy{f: f, tracker: lifecycle.NewTracker(f.cfg.Service), checkNow: make(chan struct{}, 1), ctx: context.Background()}
 	l.pool.Dial = l.dial
 	l.health.Store(&admission.HealthTracker{})
 	return l
@@ -75,14 +78,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	previous := l.tracker.Current()
-	status := l.tracker.Observe(f.cfg.Now(), r)
+	status := l.tracker.Observe(f.cfg.Now(), r, l.healthPath() != "")
 	if status == lifecycle.Accepted {
 		l.unreachable = false
 		l.applyState(previous)
 	}
+	now := l.tracker.Current()
 	if status != lifecycle.Accepted || previous.State != r.State || previous.ID != r.ID {
 		f.cfg.Logger.Info().Str("upstream", r.ID).Int64("born", r.StartedAtMs).Uint64("sequence", r.Sequence).Str("service", r.Service).
-			Str("state", r.State.String()).Int("slots", r.Slots).Str("verdict", status.String()).Msg("upstream report")
+			Str("state", r.State.String()).Int("slots", r.Slots).Str("verdict", status.String()).Str("upstream_state", now.State.String()).Msg("upstream report")
 	}
 	return status
 }
@@ -104,13 +108,16 @@
 // mutex.
 func (l *upstreamProxy) applyState(previous lifecycle.Incarnation) {
 	now := l.tracker.Current()
-	if now.ID != previous.ID || now.StartedAtMs != previous.StartedAtMs {
+	changed := now.ID != previous.ID || now.StartedAtMs != previous.StartedAtMs
+	if changed {
 		l.pool.CloseIdleConnections()
 		l.health.Store(&admission.HealthTracker{}) // the new incarnation has no health history
+		l.checkFailed = false
+		l.requestHealthCheck()
 	}
 	q := l.queue.Load()
 	switch {
-	case now.State == lifecycle.Ready && (q == nil || now.ID != previous.ID || now.StartedAtMs != previous.StartedAtMs || q.Slots() != now.Slots):
+	case now.State == lifecycle.Ready && (q == nil || changed || previous.State != lifecycle.Ready || q.Slots() != now.Slots):
 		l.replaceQueue(now)
 	case now.State != lifecycle.Ready && q != nil:
 		q.Drain()
@@ -119,11 +126,13 @@
 }
 
 // notify passes a changed state to onChange. A change of WarmUntil alone is ignored, because
-// each heartbeat moves it slightly.
+// each heartbeat moves it slightly. An unconfirmed incarnation is not announced before its first
+// health check has ended: after a restart of the daemon, the upstream would otherwise be withdrawn
+// for the duration of the check.
 func (l *upstreamProxy) notify(u LocalUpstream) {
 	same := l.lastNotified
 	same.WarmUntil = u.WarmUntil
-	if l.onChange == nil || same == u {
+	if l.onChange == nil || same == u || u.State == lifecycle.Unconfirmed && !l.checkFailed {
 		return
 	}
 	l.lastNotified = u
@@ -187,6 +196,8 @@
 		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the upstream is draining")
 	case now.State == lifecycle.Absent:
 		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "no upstream has sent a heartbeat on this VM")
+	case now.State == lifecycle.Unconfirmed:
+		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "no health check has confirmed that the upstream is not leaving")
 	case l.unreachable:
 		return chain.NewFailure(chain.NotRun, chain.ReasonConnect, "the upstream accepts no connections")
 	}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -24,6 +24,7 @@
 //	bilberry_upstream_seconds                 histogram, execution time at the local upstream
 //	bilberry_upstream_results_total{result}   outcomes of requests at the local upstream
 //	bilberry_upstream_connections_total       connections opened to the local upstream
+//	bilberry_upstream_checks_total{result}    health checks of the local upstream
 //	bilberry_bad_requests_total               requests that could not be parsed or exceeded a limit
 type metrics struct {
 	set            *vm.Set
@@ -81,6 +82,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bilberry_gate_refusals_total{reason=%q}`, f.Reason)).Inc()
 }
 
+func (m *metrics) recordHealthCheck(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bilberry_upstream_checks_total{result=%q}`, result)).Inc()
+}
+
 func (m *metrics) recordExecution(result string, elapsed time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bilberry_upstream_results_total{result=%q}`, result)).Inc()
 	m.executionTime.Update(elapsed.Seconds())
--- /dev/null
+++ b/forward/restart_test.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/core/lifecycle"
+	"github.com/bilberrydeck/bilberrydeck/core/routing"
+)
+
+// leavingUpstream returns an upstream whose health checks say that it is leaving, and the number of
+// health checks that it has received.
+func leavingUpstream(t *testing.T) (*fakeUpstream, *atomic.Int32) {
+	checks := &atomic.Int32{}
+	u := newFakeUpstream(t, "i-1", nil)
+	u.setHealth(func(req *http.Request, c net.Conn) {
+		u.respond(c, req, http.StatusServiceUnavailable, "", "X-Instance: i-1")
+		checks.Add(1)
+	})
+	return u, checks
+}
+
+// TestLateHeartbeatAfterRestart guards against a heartbeat that an upstream sent before it left, and
+// that reaches a daemon which was restarted in between: requests were sent to the upstream again, and
+// were lost when it ended.
+func TestLateHeartbeatAfterRestart(t *testing.T) {
+	for name, order := range map[string]struct{ configured, checked bool }{
+		"before the configuration": {},
+		"before a health check":    {configured: true},
+		"after a health check":     {configured: true, checked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leaving, checks := leavingUpstream(t)
+			upstreams := []*fakeUpstream{leaving, newFakeUpstream(t, "i-2", nil)}
+			f := newTestFleet(t, ordersTable(), upstreams...)
+			f.daemons[0].DeregisterUpstream(leaving.id)
+			f.restartDaemon(0, leaving)
+			before := checks.Load()
+			awaitCheck := func() {
+				require.Eventually(t, func() bool { return checks.Load() > before }, testTimeout, time.Millisecond)
+				require.Eventually(t, func() bool { return f.daemons[0].local.current().State != lifecycle.Ready }, testTimeout, time.Millisecond)
+			}
+			if order.configured {
+				f.publishUpstreams(upstreams)
+			}
+			if order.checked {
+				awaitCheck()
+			}
+			require.Equal(t, lifecycle.Accepted, f.daemons[0].HandleHeartbeat(readyHeartbeat(leaving.id, 7, testSlots)))
+			if !order.configured {
+				f.publishUpstreams(upstreams)
+				awaitCheck() // until then, the daemon cannot know better
+			}
+			for range 10 {
+				for daemon := range f.daemons {
+					resp, body := f.send(daemon, testRequest{kind: routing.NonIdempotent})
+					require.Equal(t, http.StatusOK, resp.StatusCode)
+					require.Equal(t, "i-2", body)
+				}
+			}
+			require.Empty(t, leaving.requests())
+		})
+	}
+}
+
+// TestUpstreamServesAfterRestart checks that a restarted daemon uses its upstream as soon as a health
+// check shows that it is not leaving, and that the upstream is not withdrawn in between.
+func TestUpstreamServesAfterRestart(t *testing.T) {
+	for name, health := range map[string]struct {
+		first     func(u *fakeUpstream, req *http.Request, c net.Conn)
+		withdrawn bool // the first response does not show that the upstream is ready
+	}{
+		"ready": {func(u *fakeUpstream, req *http.Request, c net.Conn) {
+			u.respond(c, req, http.StatusOK, "", "X-Instance: i-1")
+		}, false},
+		"id not stated": {func(u *fakeUpstream, req *http.Request, c net.Conn) { u.respond(c, req, http.StatusOK, "") }, false},
+		"no such path":  {func(u *fakeUpstream, req *http.Request, c net.Conn) { u.respond(c, req, http.StatusNotFound, "") }, false},
+		"full": {func(u *fakeUpstream, req *http.Request, c net.Conn) {
+			u.respond(c, req, http.StatusServiceUnavailable, "", "X-Not-Run: 1", "X-Instance: i-1")
+		}, true},
+		"too many requests": {func(u *fakeUpstream, req *http.Request, c net.Conn) {
+			u.respond(c, req, http.StatusTooManyRequests, "", "X-Instance: i-1")
+		}, true},
+		"broken": {func(_ *fakeUpstream, _ *http.Request, c net.Conn) { _ = c.Close() }, true},
+		"unhealthy for a time": {func(u *fakeUpstream, req *http.Request, c net.Conn) {
+			u.respond(c, req, http.StatusServiceUnavailable, "", "X-Instance: i-1")
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newFakeUpstream(t, "i-1", nil)
+			f := newTestFleet(t, ordersTable(), u)
+			f.stop[0]()
+			<-f.stopped[0]
+			var reported, firstDone atomic.Bool
+			u.setHealth(func(req *http.Request, c net.Conn) {
+				switch {
+				case !reported.Load():
+					_ = c.Close()
+				case firstDone.CompareAndSwap(false, true):
+					health.first(u, req, c)
+				default:
+					u.respond(c, req, http.StatusOK, "", "X-Instance: i-1")
+				}
+			})
+			var mu sync.Mutex
+			var announced []lifecycle.State
+			f.launchDaemon(0, u)
+			l := f.daemons[0].local
+			l.mu.Lock()
+			l.onChange = func(u LocalUpstream) {
+				mu.Lock()
+				defer mu.Unlock()
+				announced = append(announced, u.State)
+			}
+			l.mu.Unlock()
+			f.publishUpstreams([]*fakeUpstream{u})
+			reported.Store(true)
+			f.daemons[0].HandleHeartbeat(readyHeartbeat(u.id, 7, testSlots))
+			f.awaitState(0, lifecycle.Ready)
+			_, body := f.send(0, testRequest{kind: routing.NonIdempotent})
+			require.Equal(t, u.id, body)
+			mu.Lock()
+			defer mu.Unlock()
+			want := []lifecycle.State{lifecycle.Ready}
+			if health.withdrawn {
+				want = []lifecycle.State{lifecycle.Unconfirmed, lifecycle.Ready}
+			}
+			require.Equal(t, want, announced)
+		})
+	}
+}
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -2,19 +2,25 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/bilberrydeck/bilberrydeck/core/lifecycle"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 )
 
 const (
 	// reconnectInterval is the interval of attempts to reconnect to an unreachable upstream, and
-	// of health checks before the first heartbeat.
+	// of health checks that get no conclusive response.
 	reconnectInterval = 100 * time.Millisecond
-	// probeTimeout limits the health check of an upstream that has sent no heartbeat.
+	// notReadyInterval is the interval of health checks of an upstream that is not ready. It is
+	// longer, since such an upstream is usually about to end.
+	notReadyInterval = 500 * time.Millisecond
+	// probeTimeout limits a health check of the upstream.
 	probeTimeout = time.Second
 	// defaultSlots is the concurrency assumed before the first heartbeat of an upstream that is
 	// not in the fleet state.
@@ -44,27 +50,40 @@
 	}
 }
 
-// monitor reconnects to an unreachable upstream, and discovers an upstream that was started
-// before this daemon.
+// monitor reconnects to an unreachable upstream, discovers an upstream that was started before
+// this daemon, and checks that a reported upstream is not leaving.
 func (l *upstreamProxy) monitor(ctx context.Context) {
 	l.mu.Lock()
 	l.ctx = ctx
 	l.mu.Unlock()
 	ticker := time.NewTicker(reconnectInterval)
 	defer ticker.Stop()
+	var nextCheck time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.checkNow:
+			nextCheck = time.Time{}
 		case <-ticker.C:
 			if l.isUnreachable() {
 				l.reconnect(ctx)
 			}
-			if l.isUnknown() {
-				l.probe(ctx)
-			}
 			l.logHealthChange()
 		}
+		if now := time.Now(); l.needsHealthCheck() && !now.Before(nextCheck) {
+			if l.probe(ctx) {
+				nextCheck = now.Add(notReadyInterval)
+			}
+		}
+	}
+}
+
+// requestHealthCheck makes monitor check the health of the upstream at once, if that is needed.
+func (l *upstreamProxy) requestHealthCheck() {
+	select {
+	case l.checkNow <- struct{}{}:
+	default: // a check is due already
 	}
 }
 
@@ -80,9 +99,23 @@
 	return l.tracker.Current()
 }
 
-// isUnknown reports whether no incarnation of the upstream has been observed yet.
-func (l *upstreamProxy) isUnknown() bool {
-	return l.current().ID == ""
+func (l *upstreamProxy) needsHealthCheck() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.NeedsHealthCheck()
+}
+
+// healthPath returns the path of the upstream's health check, empty before the first configuration
+// and if the service has none.
+func (l *upstreamProxy) healthPath() string {
+	v := l.f.view.Load()
+	if v == nil {
+		return ""
+	}
+	if s := v.matcher.Service(l.f.cfg.Service); s != nil {
+		return s.HealthPath
+	}
+	return ""
 }
 
 func (l *upstreamProxy) reconnect(ctx context.Context) {
@@ -99,45 +132,114 @@
 	l.applyState(l.tracker.Current())
 }
 
-// probe requests the upstream's id by a health check. A daemon that was restarted alone would
-// otherwise have to wait for the next heartbeat.
-func (l *upstreamProxy) probe(ctx context.Context) {
-	v := l.f.view.Load()
-	if v == nil {
-		return
+// probe checks the health of the upstream. A daemon that was restarted alone finds its upstream so
+// before the next heartbeat, and learns whether the upstream is leaving, which it may have reported
+// to the daemon's predecessor. probe reports whether the upstream has responded that it is not ready.
+func (l *upstreamProxy) probe(ctx context.Context) (notReady bool) {
+	path := l.healthPath()
+	if path == "" {
+		return false
 	}
-	s := v.matcher.Service(l.f.cfg.Service)
-	if s == nil || s.HealthPath == "" {
-		return
+	l.mu.Lock()
+	check := l.tracker.BeginHealthCheck()
+	l.mu.Unlock()
+	from, err := l.sendHealthCheck(ctx, path)
+	switch {
+	case err != nil:
+		l.f.metrics.recordHealthCheck("no-response")
+	case from.Status == http.StatusTooManyRequests || from.Header.Get(l.f.cfg.HeaderNames.NotExecuted) != "":
+		err = errHealthCheckRejected
+		l.f.metrics.recordHealthCheck("rejected")
 	}
+	if err != nil {
+		l.recordInconclusiveCheck(err)
+		return false
+	}
+	result := checkResult(from.Status)
+	l.f.metrics.recordHealthCheck(result.String())
+	l.recordHealthCheck(check, from.Header.Get(l.f.cfg.HeaderNames.ResponderID), result)
+	return result == lifecycle.CheckNotReady
+}
+
+// errHealthCheckRejected is the error of a health check that a full upstream rejected like any other
+// request, which says nothing about its state.
+var errHealthCheckRejected = errors.New("the upstream rejected the health check without executing it")
+
+// checkResult returns what the status of a health check says. A status that no health check has means
+// that the path is not that of one.
+func checkResult(status int) lifecycle.HealthCheckResult {
+	switch {
+	case status == http.StatusOK:
+		return lifecycle.CheckReady
+	case status >= http.StatusInternalServerError:
+		return lifecycle.CheckNotReady
+	}
+	return lifecycle.CheckUnusable
+}
+
+// sendHealthCheck sends a health check and returns the head of the response.
+func (l *upstreamProxy) sendHealthCheck(ctx context.Context, path string) (*httpwire.ClientResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := l.pool.Get(ctx, httpwire.Reuse{MaxIdle: peerIdleTimeout})
 	if err != nil {
-		return // no upstream is running yet; its first heartbeat registers it
+		return nil, err // no upstream is running yet, or none any more
 	}
-	from, err := conn.Do(ctx, &httpwire.ClientRequest{Method: http.MethodGet, Target: s.HealthPath, Host: l.f.cfg.UpstreamAddress, Header: http.Header{}})
+	from, err := conn.Do(ctx, &httpwire.ClientRequest{Method: http.MethodGet, Target: path, Host: l.f.cfg.UpstreamAddress, Header: http.Header{}})
 	if err != nil {
 		conn.Close()
-		return
+		return nil, err
 	}
 	resp, failure := readResponse(ctx, from, func() { l.pool.Put(conn) })
 	if failure != nil {
-		return
+		return nil, failure
 	}
 	resp.close()
-	l.recordProbe(from.Header.Get(l.f.cfg.HeaderNames.ResponderID), from.Status == http.StatusOK)
+	return from, nil
 }
 
-func (l *upstreamProxy) recordProbe(id string, ready bool) {
+// recordHealthCheck applies the result of a health check.
+func (l *upstreamProxy) recordHealthCheck(check lifecycle.HealthCheck, id string, result lifecycle.HealthCheckResult) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	slots := defaultSlots
 	if v := l.f.view.Load(); v != nil && v.localSlots[id] > 0 {
 		slots = v.localSlots[id]
 	}
-	if l.tracker.ObserveHealthCheck(id, slots, ready) {
-		l.f.cfg.Logger.Info().Str("upstream", id).Bool("ready", ready).Msg("upstream found by a health check")
-		l.applyState(lifecycle.Incarnation{})
+	previous := l.tracker.Current()
+	l.tracker.ObserveHealthCheck(check, id, slots, result)
+	now := l.tracker.Current()
+	switch {
+	case previous.ID == "" && now.ID != "":
+		l.f.cfg.Logger.Info().Str("upstream", id).Bool("ready", result == lifecycle.CheckReady).Msg("upstream found by a health check")
+	case now.ID != previous.ID || now.State != previous.State || now.State == lifecycle.Unconfirmed && !l.checkFailed:
+		l.logHealthCheck(now, result.String()).Str("responder", id).Msg("upstream health check")
+	}
+	l.applyState(previous)
+	l.announceUnconfirmed()
+}
+
+// recordInconclusiveCheck records that a health check got no response that says whether the upstream
+// is ready.
+func (l *upstreamProxy) recordInconclusiveCheck(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.tracker.Current()
+	if now.State == lifecycle.Unconfirmed && !l.checkFailed {
+		l.logHealthCheck(now, "inconclusive").Err(err).Msg("upstream health check")
+	}
+	l.announceUnconfirmed()
+}
+
+func (l *upstreamProxy) logHealthCheck(now lifecycle.Incarnation, result string) *log.Entry {
+	return l.f.cfg.Logger.Info().Str("upstream", now.ID).Str("result", result).Str("upstream_state", now.State.String())
+}
+
+// announceUnconfirmed announces that the current incarnation is not ready after a health check did
+// not confirm it. The caller holds the mutex.
+func (l *upstreamProxy) announceUnconfirmed() {
+	if now := l.tracker.Current(); now.State == lifecycle.Unconfirmed && !l.checkFailed {
+		l.checkFailed = true
+		l.notify(LocalUpstream{Incarnation: now, Unreachable: l.unreachable})
 	}
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -51,6 +51,7 @@
 	{"settings changed", planned, func(i *injector, _ time.Duration) { i.reload(i.daemon()) }},
 	{"upstream crashed", onDaemons, func(i *injector, d time.Duration) { i.replaceUpstream(i.daemon(), d, (*upstream).close) }},
 	{"upstream left", onDaemons, func(i *injector, d time.Duration) { i.replaceUpstream(i.daemon(), d, (*upstream).drain) }},
+	{"upstream left before its daemon restarts", onDaemons, func(i *injector, d time.Duration) { i.restartAfterLeaving(i.daemon(), d) }},
 	{"upstream slow", onDaemons, func(i *injector, d time.Duration) {
 		u := i.daemon().upstream
 		i.changeUpstream(u, func() { u.serviceTime = 400 * time.Millisecond }, d, func() { u.serviceTime = defaultServiceTime })
@@ -264,6 +265,27 @@
 	})
 }
 
+// restartAfterLeaving lets the upstream of a VM leave, restarts its daemon, and delivers a heartbeat
+// that the upstream sent before it left. Then a new incarnation starts.
+func (c *cluster) restartAfterLeaving(v *vm, d time.Duration) {
+	v.withFaultLock(func() {
+		u := v.upstream
+		late := u.nextHeartbeat()
+		u.leave()
+		v.kill()
+		v.start()
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if c.client.Ready(context.Background(), v.settings.ReadyAddress) == nil {
+				u.sendHeartbeat(context.Background(), late)
+				break
+			}
+		}
+		time.Sleep(drainWithin + d/2)
+		u.close()
+		u.start()
+	})
+}
+
 // changeUpstream applies a change to an upstream and reverts it after d.
 func (c *cluster) changeUpstream(u *upstream, apply func(), d time.Duration, revert func()) {
 	withLock := func(f func()) {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -30,6 +30,7 @@
 
 	mu              sync.Mutex
 	incarnation     int // number of starts
+	startedAt       time.Time
 	sequence        uint64
 	draining        bool
 	gone            bool
@@ -51,11 +52,11 @@
 func (u *upstream) start() {
 	u.mu.Lock()
 	u.incarnation++
-	u.sequence, u.draining, u.gone = 0, false, false
+	u.startedAt, u.sequence, u.draining, u.gone = time.Now(), 0, false, false
 	ctx, cancel := context.WithCancel(context.Background())
 	u.cancel = cancel
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve)}
-	server, id := u.server, u.id()
+	server := u.server
 	u.mu.Unlock()
 	listener, err := net.Listen("tcp", u.vm.addressOf(portUpstream))
 	if err != nil {
@@ -63,27 +64,13 @@
 		return
 	}
 	go func() { _ = server.Serve(listener) }() // returns after close
-	go u.sendHeartbeats(ctx, id)
+	go u.sendHeartbeats(ctx)
 }
 
-// sendHeartbeats sends heartbeats until the incarnation ends. Once a heartbeat with state
-// draining is acknowledged, the daemon must send the upstream no new requests.
-func (u *upstream) sendHeartbeats(ctx context.Context, id string) {
-	startedAt := time.Now().UnixMilli()
+// sendHeartbeats sends heartbeats until ctx ends.
+func (u *upstream) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
-		u.mu.Lock()
-		u.sequence++
-		heartbeat := lifecycle.Heartbeat{ID: id, StartedAtMs: startedAt, Sequence: u.sequence, Service: u.vm.settings.Service, State: lifecycle.Ready, Slots: upstreamSlots}
-		if u.draining {
-			heartbeat.State = lifecycle.Draining
-		}
-		u.mu.Unlock()
-		err := u.vm.cluster.client.SendHeartbeat(ctx, u.vm.settings.ControlAddress, heartbeat, platform.UpstreamLocation{
-			Address: u.vm.addressOf(portUpstream), AvailabilityZone: u.vm.settings.AvailabilityZone, Version: "v1",
-		})
-		if err == nil && heartbeat.State == lifecycle.Draining {
-			u.vm.cluster.checker.recordDraining(id)
-		}
+		u.sendHeartbeat(ctx, u.nextHeartbeat())
 		select {
 		case <-ctx.Done():
 		case <-time.After(heartbeatInterval):
@@ -91,6 +78,40 @@
 	}
 }
 
+func (u *upstream) nextHeartbeat() lifecycle.Heartbeat {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sequence++
+	h := lifecycle.Heartbeat{ID: u.id(), StartedAtMs: u.startedAt.UnixMilli(), Sequence: u.sequence, Service: u.vm.settings.Service, State: lifecycle.Ready, Slots: upstreamSlots}
+	if u.draining {
+		h.State = lifecycle.Draining
+	}
+	return h
+}
+
+// sendHeartbeat sends a heartbeat to the daemon. Once one with state draining is acknowledged, the
+// daemon must send the upstream no new requests.
+func (u *upstream) sendHeartbeat(ctx context.Context, h lifecycle.Heartbeat) {
+	err := u.vm.cluster.client.SendHeartbeat(ctx, u.vm.settings.ControlAddress, h, platform.UpstreamLocation{
+		Address: u.vm.addressOf(portUpstream), AvailabilityZone: u.vm.settings.AvailabilityZone, Version: "v1",
+	})
+	if err == nil && h.State == lifecycle.Draining {
+		u.vm.cluster.checker.recordDraining(h.ID)
+	}
+}
+
+// leave deregisters the upstream without a draining heartbeat. It continues to serve.
+func (u *upstream) leave() {
+	u.mu.Lock()
+	u.draining = true
+	id, cancel := u.id(), u.cancel
+	u.mu.Unlock()
+	cancel()
+	if u.vm.cluster.client.Deregister(context.Background(), u.vm.settings.ControlAddress, id) == nil {
+		u.vm.cluster.checker.recordDraining(id)
+	}
+}
+
 // drain stops the upstream gracefully: it reports that it drains, continues to serve,
 // deregisters and closes.
 func (u *upstream) drain() {
@@ -131,10 +152,13 @@
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	headers := platform.HeaderNames()
 	u.mu.Lock()
-	id, serviceTime, failureRatio, truncationRatio := u.id(), u.serviceTime, u.failureRatio, u.truncationRatio
+	id, draining, serviceTime, failureRatio, truncationRatio := u.id(), u.draining, u.serviceTime, u.failureRatio, u.truncationRatio
 	u.mu.Unlock()
 	w.Header().Set(headers.ResponderID, id)
 	if r.URL.Path == healthPath {
+		if draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	requestID := r.Header.Get(headers.RequestID)
