forward: a stopping daemon takes a late request only if its response can still be written

What callers saw: a request that came late in a planned stop could be taken and passed on, and get no response because the process ended first (report of other operators). Cause: a request was taken if its deadline was before the end of the process; but the ingress waits 80 ms longer for a response at the deadline of the route, and the response has to be written. Ruled out, as the whole of the report: other late requests. They are rejected as not run and reach no upstream: TestLateRequestsDuringShutdown, with clients that use open connections until the daemon is gone, passed on the code before, and fails with a break (late requests are taken whatever their deadline). Pipelined requests and calls of other daemons are covered by older tests. Change: outlivesShutdown adds lastResponseMargin to the deadline. Before and after: TestLateRequestEndsBeforeDaemon got 504 after the request had reached the upstream, 40 ms after the end of the shutdown; now 503 (stopping), and the upstream gets nothing.

--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -207,10 +207,14 @@
 // setShutdownDeadline sets the time by which all execution ends.
 func (l *upstreamProxy) setShutdownDeadline(end time.Time) { l.shutdownDeadline.Store(&end) }
 
-// outlivesShutdown reports whether the deadline of a call is after the shutdown deadline.
+// lastResponseMargin is the time from the deadline of a request until its response has been written:
+// the time that the ingress waits for a response at the deadline, and the time to write it.
+const lastResponseMargin = responseGraceTime + 50*time.Millisecond
+
+// outlivesShutdown reports whether the response to a call may be due after the shutdown deadline.
 func (l *upstreamProxy) outlivesShutdown(c *call) bool {
 	end := l.shutdownDeadline.Load()
-	return end != nil && c.deadline.After(*end)
+	return end != nil && c.deadline.Add(lastResponseMargin).After(*end)
 }
 
 // admitAndExecute passes a call through the admission controller to the upstream. ctx ends
