httpwire: the head of a response has a limited number of lines

What callers saw: an upstream that sends a head of thousands of short lines and then nothing, to many requests at once, fills the memory of its daemon; the requests of all other clients there end with the process (report of other operators: bytes that are no answer, in a head). On 256 such heads of 60 KiB held 253 MiB until the deadlines of their requests; a VM of the users has 184 or 284 MB. Cause: the limit of a head counts bytes, and each line takes some 100 bytes of memory, as a key and value of a map, whatever its length. Ruled out: heads without end. They are cut off at 64 KiB and freed (TestEndlessResponseHead, on as well); what stalls below the limit is held. Change: limitedReader, in a file of its own, counts the lines up to the end of a head; 512 are allowed. Request heads keep their limit of bytes, which the operator's configuration sets (16 KiB): the same cause, bounded by it.

--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -59,7 +59,7 @@
 	// ErrNoResponse means that the connection was closed before a response began.
 	ErrNoResponse = errors.New("the connection was closed without a response")
 	// ErrResponseHeadTooLarge means that the head of the response, or the interim responses before
-	// it, exceed the limit.
+	// it, exceed the limit of bytes or lines.
 	ErrResponseHeadTooLarge = &ParseError{Status: http.StatusBadGateway, Reason: "the response head exceeds the limit"}
 	// ErrResponseTooLarge means that the body of the response exceeds the limit.
 	ErrResponseTooLarge = &ParseError{Status: http.StatusBadGateway, Reason: "the response body exceeds the limit"}
@@ -70,6 +70,9 @@
 	// responses before it. It exceeds what an upstream needs for the headers of any request that
 	// the usual request limits admit.
 	maxResponseHead = 64 << 10
+	// maxResponseHeadLines is the maximum number of lines of the head of a response. A head of short
+	// lines takes some 20 times its size in memory.
+	maxResponseHeadLines = 512
 	// maxResponseBody is the maximum size in bytes of the body of a response. A larger one takes
 	// longer on the link of a VM than its client waits.
 	maxResponseBody = 256 << 20
@@ -282,9 +285,11 @@
 	defer c.limitedSource.clearLimit()
 	c.parserRequest.Method = req.Method
 	for mismatched := 0; mismatched <= maxMismatched; {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail on buffered bytes
+		c.limitedSource.limitLines(maxResponseHeadLines, buffered)
 		resp, err := http.ReadResponse(c.reader, &c.parserRequest)
 		switch {
-		case c.limitedSource.exceeded:
+		case c.limitedSource.exceeded, c.limitedSource.lines.exceeded():
 			return nil, ErrResponseHeadTooLarge
 		case err != nil:
 			return nil, responseError(err)
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -288,32 +288,3 @@
 	}
 	_ = c.nc.Close() // no data is pending
 }
-
-// limitedReader limits the number of bytes that are read for one head.
-type limitedReader struct {
-	src       io.Reader
-	remaining int  // noLimit for no limit
-	exceeded  bool // a read was attempted at the limit
-}
-
-// noLimit is the value of limitedReader.remaining without a limit.
-const noLimit = -1
-
-func (l *limitedReader) setLimit(n int) { l.remaining, l.exceeded = n, false }
-func (l *limitedReader) clearLimit()    { l.remaining = noLimit }
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		l.exceeded = true
-		return 0, io.EOF
-	}
-	if l.remaining > 0 && len(p) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.src.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= n
-	}
-	return n, err
-}
