forward: buffered bodies of responses share a budget and take memory only as they arrive

Cause: the buffer for a body was allocated by the announced length, up to 1 MiB a request, and nothing limited all buffers together. Ruled out: bodies without end alone. Change: a buffer grows as the body arrives; beyond 64 KiB it takes from a budget of an eighth of the VM's memory. What finds no room is forwarded while it is read: whole for the client, without a retry if it breaks off. New metric bilberry_response_buffer_bytes.

--- a/forward/call.go
+++ b/forward/call.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -104,6 +103,7 @@
 	stream  io.Reader // replaces body
 	length  int64     // of the stream, -1 if unknown
 	release func()    // releases the stream's connection; nil if the body is buffered
+	buffer  *bodyBuffer
 }
 
 // onRelease calls f once the response needs its connection no longer: at once if the body is
@@ -120,9 +120,14 @@
 	}
 }
 
-// close releases the connection of a streamed response. It may be called on nil.
+// close releases the buffer of a response, and the connection of a streamed one. It may be called on
+// nil.
 func (r *response) close() {
-	if r != nil && r.release != nil {
+	if r == nil {
+		return
+	}
+	r.buffer.release()
+	if r.release != nil {
 		r.release()
 	}
 }
@@ -138,50 +143,103 @@
 	return &result{failure: chain.NewFailure(chain.NotRun, reason, message)}
 }
 
-// minBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
-const minBodyBuffer = 8 << 10
+const (
+	// minBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
+	minBodyBuffer = 8 << 10
+	// maxUnreservedBuffer is the maximum size in bytes of a buffer without a reservation. Most bodies
+	// fit into it. A larger buffer is allocated only as the body arrives, whatever length it announces.
+	maxUnreservedBuffer = 64 << 10
+)
+
+// bodyBuffer is the beginning of a body, or all of it.
+type bodyBuffer struct {
+	bytes    []byte
+	complete bool
+	maxSize  int64
+	budget   *bufferBudget
+	reserved int64 // bytes of the budget
+}
 
-// readBuffered reads a body of the given length, -1 if unknown, up to maxBufferedBody. A buffer for an
-// unknown length doubles, so that all its versions together take no more than twice the limit.
-func readBuffered(from io.Reader, length int64) ([]byte, error) {
-	size := length + 1 // leaves room to read the end of the body
-	if length < 0 || length >= maxBufferedBody {
-		size = minBodyBuffer
+// readBuffered reads a body of the given length, -1 if unknown, up to maxBufferedBody or until the
+// budget has no more room. The buffer doubles as it fills, so that all its versions together take no
+// more than twice its size. The caller must release the buffer, also after an error.
+func readBuffered(from io.Reader, length int64, budget *bufferBudget) (*bodyBuffer, error) {
+	b := &bodyBuffer{maxSize: maxBufferedBody, budget: budget}
+	size := int64(minBodyBuffer)
+	if length >= 0 {
+		b.maxSize = min(length+1, maxBufferedBody) // leaves room to read the end of the body
+		size = min(b.maxSize, maxUnreservedBuffer)
 	}
-	body := make([]byte, 0, size)
-	for len(body) < maxBufferedBody {
-		if len(body) == cap(body) {
-			body = append(make([]byte, 0, min(2*cap(body), maxBufferedBody)), body...)
+	b.bytes = make([]byte, 0, size)
+	for {
+		if len(b.bytes) == cap(b.bytes) && !b.grow() {
+			return b, nil
 		}
-		n, err := from.Read(body[len(body):min(cap(body), maxBufferedBody)])
-		body = body[:len(body)+n]
+		n, err := from.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
 		if err == io.EOF {
-			return body, nil
+			b.complete = true
+			return b, nil
 		}
 		if err != nil {
-			return body, err
+			return b, err
+		}
+	}
+}
+
+// grow doubles the buffer. It reports false at the maximum size and if the budget has no room.
+func (b *bodyBuffer) grow() bool {
+	size := min(2*int64(cap(b.bytes)), b.maxSize)
+	if size == int64(cap(b.bytes)) {
+		return false
+	}
+	if size > maxUnreservedBuffer {
+		more := size - b.reserved
+		if !b.budget.reserve(more) {
+			return false
 		}
+		b.reserved += more
+	}
+	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	return true
+}
+
+// release drops the buffered bytes and returns the reservation.
+func (b *bodyBuffer) release() {
+	b.budget.release(b.reserved)
+	b.bytes, b.reserved = nil, 0
+}
+
+// Read implements io.Reader: it consumes the buffered bytes, and releases the buffer at their end.
+func (b *bodyBuffer) Read(p []byte) (int, error) {
+	if len(b.bytes) == 0 {
+		b.release()
+		return 0, io.EOF
 	}
-	return body, nil
+	n := copy(p, b.bytes)
+	b.bytes = b.bytes[n:]
+	return n, nil
 }
 
-// readResponse reads a response from a connection and buffers its body if it is small.
-// release is called once the connection is no longer needed, also after a failure.
-func readResponse(ctx context.Context, from *httpwire.ClientResponse, release func()) (*response, *chain.Failure) {
-	r := &response{status: from.Status, header: from.Header}
-	body, err := readBuffered(from.Body, from.Length)
+// readResponse reads a response from a connection and buffers its body if it is small and the budget
+// has room. release is called once the connection is no longer needed, also after a failure. The
+// response must be closed.
+func readResponse(ctx context.Context, from *httpwire.ClientResponse, budget *bufferBudget, release func()) (*response, *chain.Failure) {
+	buffer, err := readBuffered(from.Body, from.Length, budget)
 	if err != nil {
+		buffer.release()
 		release()
 		if ctx.Err() != nil {
 			return nil, chain.FailureFromContext(ctx, chain.Unknown, "cancelled or expired before the response was complete")
 		}
 		return nil, chain.WrapFailure(chain.Unknown, chain.ReasonTruncated, "the response ended early", err)
 	}
-	if len(body) < maxBufferedBody {
-		r.body = body
+	r := &response{status: from.Status, header: from.Header, buffer: buffer}
+	if buffer.complete {
+		r.body = buffer.bytes
 		release()
 		return r, nil
 	}
-	r.stream, r.length, r.release = io.MultiReader(bytes.NewReader(body), from.Body), from.Length, release
+	r.stream, r.length, r.release = io.MultiReader(buffer, from.Body), from.Length, release
 	return r, nil
 }
--- a/forward/config.go
+++ b/forward/config.go
@@ -40,6 +40,8 @@
 	AvailabilityZone string
 	HeaderNames      HeaderNames
 	RetryBudget      RetryBudgetConfig
+	// BufferBytes limits the memory for buffered bodies of responses; 0 means DefaultBufferBytes.
+	BufferBytes int64
 	// ShutdownGracePeriod is the time from SIGTERM after which the process is killed.
 	ShutdownGracePeriod time.Duration
 
@@ -58,6 +60,9 @@
 	if c.ResolvePeer == nil {
 		c.ResolvePeer = func(advertised string) string { return advertised }
 	}
+	if c.BufferBytes <= 0 {
+		c.BufferBytes = DefaultBufferBytes
+	}
 	if c.Logger == nil {
 		c.Logger = logging.New(io.Discard)
 	}
@@ -66,6 +71,8 @@
 
 // Limits of the request path.
 const (
+	// DefaultBufferBytes is the default of Config.BufferBytes.
+	DefaultBufferBytes = 32 << 20
 	// maxBufferedBody is the size in bytes up to which a body is buffered. A request with
 	// such a body can be retried, and such a response is checked for completeness before any
 	// of it is forwarded.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -22,6 +22,7 @@
 	linkBudget *balance.LinkBudget
 	local      *upstreamProxy
 	peers      *peerPools
+	buffers    *bufferBudget // of the bodies of responses
 
 	ingress, peerServer           httpwire.Server
 	ingressListener, peerListener net.Listener
@@ -40,6 +41,7 @@
 		cfg: cfg, metrics: newMetrics(), services: map[string]*service{},
 		linkBudget: balance.NewLinkBudget(balance.LinkBudgetConfig{BytesPerSecond: linkBytesPerSecond}),
 		peers:      newPeerPools(cfg.ResolvePeer),
+		buffers:    newBufferBudget(cfg.BufferBytes),
 	}
 	f.local = newUpstreamProxy(f)
 	f.ingress = httpwire.Server{Handle: f.serveIngress, Limits: f.requestLimits, OnBadRequest: f.recordBadRequest}
--- a/forward/gauges.go
+++ b/forward/gauges.go
@@ -14,6 +14,7 @@
 //	bilberry_upstream_ready          1 while the local upstream accepts requests
 //	bilberry_upstream_healthy        1 unless many requests of the local upstream fail or hang
 //	bilberry_configuration_number    version of the active configuration, 0 before the first
+//	bilberry_response_buffer_bytes   memory left for the buffered bodies of responses
 //	bilberry_decisions_dropped_total lines of the decision log that were not written
 func (f *Forwarder) registerGauges() {
 	s := f.metrics.set
@@ -34,5 +35,6 @@
 		return 1
 	})
 	s.NewGauge("bilberry_configuration_number", func() float64 { return float64(f.ConfigVersion()) })
+	s.NewGauge("bilberry_response_buffer_bytes", func() float64 { return float64(f.buffers.available.Load()) })
 	s.NewGauge("bilberry_decisions_dropped_total", func() float64 { return float64(f.decisions.Dropped()) })
 }
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -397,7 +397,7 @@
 func (l *upstreamProxy) classifyResponse(ctx context.Context, conn *httpwire.ClientConn, from *httpwire.ClientResponse) *result {
 	names := &l.f.cfg.HeaderNames
 	contradicted := false
-	resp, failure := readResponse(ctx, from, func() {
+	resp, failure := readResponse(ctx, from, l.f.buffers, func() {
 		// A rejection that is followed by another response does not prove anything.
 		contradicted = isRejection(from, names) && conn.HasExcessInput()
 		l.pool.Put(conn)
--- a/forward/peer_client.go
+++ b/forward/peer_client.go
@@ -57,7 +57,7 @@
 		conn.Close()
 		return peerExchangeFailure(ctx, mayHaveExecuted, err)
 	}
-	return readPeerResponse(ctx, pool, conn, from)
+	return readPeerResponse(ctx, pool, conn, from, f.buffers)
 }
 
 // peerRequest returns the call as it is sent to a peer.
@@ -82,11 +82,11 @@
 }
 
 // readPeerResponse reads the response of a peer and its internal headers.
-func readPeerResponse(ctx context.Context, pool *httpwire.Pool, conn *httpwire.ClientConn, from *httpwire.ClientResponse) *result {
+func readPeerResponse(ctx context.Context, pool *httpwire.Pool, conn *httpwire.ClientConn, from *httpwire.ClientResponse, budget *bufferBudget) *result {
 	loadReport := parseLoadReport(from.Header)
 	rejection := from.Header.Get(headerRejection)
 	dependency := from.Header.Get(headerDependency)
-	resp, failure := readResponse(ctx, from, func() { pool.Put(conn) })
+	resp, failure := readResponse(ctx, from, budget, func() { pool.Put(conn) })
 	if failure != nil {
 		return &result{failure: failure, delivered: true, loadReport: loadReport}
 	}
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -125,10 +125,18 @@
 	}
 	appendResponseHead(buf, x.Request, r, length, closing)
 	if r.Stream == nil {
-		if x.Request.Method != http.MethodHead {
-			buf.Write(r.Body)
+		body := r.Body
+		if x.Request.Method == http.MethodHead {
+			body = nil
+		}
+		if len(body) <= maxPooledBuffer {
+			buf.Write(body)
+			body = nil
 		}
 		_, err := nc.Write(buf.Bytes())
+		if err == nil && len(body) > 0 {
+			_, err = nc.Write(body) // not copied, since a client that reads slowly would hold both
+		}
 		return err
 	}
 	if _, err := nc.Write(buf.Bytes()); err != nil {
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -29,6 +29,13 @@
 	controlConnectTimeout = 700 * time.Millisecond
 )
 
+// bufferRatio is the part of the memory of the VM that buffered bodies of responses may take. Together
+// with what the runtime adds to it, it leaves half of the VM to the connections and their buffers.
+const bufferRatio = 0.125
+
+// responseBufferBytes returns the memory for buffered bodies of responses, 0 for the default.
+func responseBufferBytes(memoryBytes int64) int64 { return int64(float64(memoryBytes) * bufferRatio) }
+
 // tuneFleetMemory configures the garbage collector for a fleet process.
 func tuneFleetMemory(memoryBytes int64) {
 	debug.SetGCPercent(gcPercent)
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -55,8 +55,8 @@
 	d.forwarder, err = forward.New(ctx, forward.Config{
 		IngressAddress: s.IngressAddress, PeerAddress: s.PeerAddress, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
 		Region: s.Region, AvailabilityZone: s.AvailabilityZone, HeaderNames: platform.HeaderNames(),
-		RetryBudget:         forward.RetryBudgetConfig{Ratio: s.RetryRatio * retryBudgetFraction, MinRetries: s.MinRetries * retryBudgetFraction, Window: s.RetryWindow},
-		ShutdownGracePeriod: s.ShutdownGracePeriod, Now: monotonic.Now, Seed: newSeed(), Logger: d.Logger, ResolvePeer: d.dialAddress,
+		RetryBudget: forward.RetryBudgetConfig{Ratio: s.RetryRatio * retryBudgetFraction, MinRetries: s.MinRetries * retryBudgetFraction, Window: s.RetryWindow},
+		BufferBytes: responseBufferBytes(s.MemoryBytes), ShutdownGracePeriod: s.ShutdownGracePeriod, Now: monotonic.Now, Seed: newSeed(), Logger: d.Logger, ResolvePeer: d.dialAddress,
 	})
 	if err != nil {
 		return err
