daemon: response heads of the local upstream have the limit of request heads

Cause: net/http limits a response head by its bytes only, 128 KiB here, and each short line takes some 20 times its size. Ruled out: bodies. They are forwarded through buffers of 32 KiB, and their announced length allocates nothing above that. Change: 32 KiB for the heads of the local upstream, the limit that requests have; other daemons, which add headers, keep theirs.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,7 +92,7 @@
 		cfg: cfg, log: cfg.Logger, metrics: newMetrics(), requestIDs: newRequestIDGenerator(cfg.Seed, cfg.Incarnation, cfg.ID),
 		chainHandles: newChainHandles(), admissionLevels: &admission.LevelAggregator{}, rejectionLimiter: retry.NewRejectionLimiter(retry.RejectionLimiterConfig{}),
 		peerScheme: "http", serviceClients: make(map[string]*serviceClient), drainStarted: make(chan struct{}),
-		claimSlots: make(chan struct{}, maxBackgroundClaims), healthClient: &http.Client{Transport: newTransport(nil, 1)},
+		claimSlots: make(chan struct{}, maxBackgroundClaims), healthClient: &http.Client{Transport: newUpstreamTransport(1)},
 		stateSequence: 1,
 	}
 	if cfg.ClientTLS != nil {
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -123,6 +123,14 @@
 	return &countingConn{Conn: tlsConn{secured}}, nil
 }
 
+// newUpstreamTransport returns a transport to the local upstream. Its response heads have the limit of
+// request heads: a head of short lines takes some 20 times its size in memory.
+func newUpstreamTransport(maxConnections int) *http.Transport {
+	t := newTransport(nil, maxConnections)
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return t
+}
+
 // newTransport returns an HTTP/1.1 client transport that counts the bytes written to its
 // connections and limits their number per host.
 func newTransport(clientTLS *tls.Config, maxConnections int) *http.Transport {
--- a/daemon/upstream_state.go
+++ b/daemon/upstream_state.go
@@ -122,7 +122,7 @@
 	if old != nil && old.address == address {
 		return
 	}
-	d.local.Store(&localUpstream{address: address, transport: newTransport(nil, d.maxLocalConnections)})
+	d.local.Store(&localUpstream{address: address, transport: newUpstreamTransport(d.maxLocalConnections)})
 	if old != nil {
 		old.transport.CloseIdleConnections()
 	}
@@ -138,7 +138,7 @@
 	}
 	d.maxLocalConnections = maxConnections
 	if old := d.local.Load(); old != nil {
-		d.local.Store(&localUpstream{address: old.address, transport: newTransport(nil, maxConnections)})
+		d.local.Store(&localUpstream{address: old.address, transport: newUpstreamTransport(maxConnections)})
 		old.transport.CloseIdleConnections()
 	}
 }
