explain: health checks of an upstream are shown as related events

Reason: the event is new, and says why requests found no upstream (no-upstream) after the restart of a daemon. No test fails without it; the tests of explain pass.

--- a/explain/causes.go
+++ b/explain/causes.go
@@ -114,7 +114,7 @@
 
 // relatedEventNames are the events that may explain a failure.
 var relatedEventNames = map[string]bool{
-	"upstream lost": true, "upstream left": true, "upstream replaced by another run": true, "planned stop begins": true,
+	"upstream lost": true, "upstream left": true, "upstream health check": true, "upstream replaced by another run": true, "planned stop begins": true,
 	"daemon started": true, "control session lost": true, "configuration in force": true,
 }
 
