lifecycle: heartbeats that cannot be older than the daemon need no health check

Cause: with the fix for late heartbeats alone, a sound upstream whose health check says that it is not ready (the users know such upstreams) would get no requests for as long as its health check is wrong, whenever its daemon restarts or the upstream is new. Ruled out: believing heartbeats again as soon as two of them have arrived, since late ones may come together. Change: heartbeats are at most 10 s late (MaxHeartbeatDelay; the users' page says seconds). A heartbeat that arrives later than that after the start of the daemon was sent while this process was running, which would know of a departure since; it is taken at its word, as before the fix. The same holds after a deregistration whose incarnation was not known. Before and after: TestNewHeartbeatNeedsNoHealthCheck and TestHeartbeatAfterUnknownDeparture are new, the first fails without the change (the upstream stays unconfirmed).

--- a/core/lifecycle/tracker.go
+++ b/core/lifecycle/tracker.go
@@ -2,10 +2,11 @@
 // checks: which incarnation is the current one, and whether it accepts requests. Heartbeats may
 // arrive late, out of order and from incarnations that are leaving or have ended.
 //
-// Invariant: once a health check is possible, an incarnation becomes Ready only by a health check
-// that began after all departures that the tracker has observed. A daemon that was restarted does
-// not know the departures that its predecessor acknowledged, and a heartbeat does not say when it
-// was sent; the upstream itself knows whether it is leaving.
+// Invariant: an incarnation becomes Ready only by a heartbeat that it has sent since this daemon
+// started, so that the daemon would know of a later departure, or by a health check that began after
+// all departures that the daemon knows of. A daemon that was restarted does not know those that its
+// predecessor acknowledged, and a heartbeat does not say when it was sent. The exception is a daemon
+// that cannot check the health of its upstream yet.
 package lifecycle
 
 import "time"
@@ -18,7 +19,7 @@
 	Absent      State = iota // no incarnation is known, or the last one deregistered
 	Ready                    // accepts requests
 	Draining                 // completes its requests in flight and deregisters
-	Unconfirmed              // it may be leaving: no health check has confirmed its heartbeats yet
+	Unconfirmed              // its heartbeats may be older than its departure
 )
 
 var stateNames = [...]string{"absent", "ready", "draining", "unconfirmed"}
@@ -43,6 +44,9 @@
 	MaxIDBytes = 256
 )
 
+// MaxHeartbeatDelay is the time within which a heartbeat arrives, if it does.
+const MaxHeartbeatDelay = 10 * time.Second
+
 // ValidID reports whether the id of an upstream can be sent in a header and in the messages between
 // daemons.
 func ValidID(id string) bool {
@@ -89,13 +93,13 @@
 	WarmUntil   time.Time // end of the warm-up
 }
 
-// confirmation says how it is known that an incarnation which reports to be ready is not leaving.
+// confirmation says how it is known that an incarnation which reports to be ready has not left.
 type confirmation uint8
 
 const (
-	unconfirmed confirmation = iota // not known: a health check has to confirm it
-	assumed                         // no health check has been possible
-	confirmed                       // by a health check, or because the upstream has no usable one
+	unconfirmed confirmation = iota // not known: its heartbeats may be older than its departure
+	assumed                         // not known, but no health check has been possible
+	confirmed                       // by a heartbeat that is new enough, or by a health check
 )
 
 // Tracker tracks the current incarnation of the upstream. It is not safe for concurrent use.
@@ -106,13 +110,17 @@
 	sequence      uint64
 	lastHeartbeat time.Time
 	deregistered  bool
+	startedAt     time.Time
 	departures    uint64 // number of observed departures: draining heartbeats and deregistrations
 	lastDeparted  string // id that deregistered last, whether or not it was the current one
+	departedAt    time.Time
 	responder     string // id that responded in place of the current incarnation, empty if none did
 }
 
-// NewTracker returns a Tracker for upstreams of a service.
-func NewTracker(service string) *Tracker { return &Tracker{service: service} }
+// NewTracker returns a Tracker for upstreams of a service, at the start of the daemon.
+func NewTracker(now time.Time, service string) *Tracker {
+	return &Tracker{service: service, startedAt: now}
+}
 
 // Current returns the current incarnation. Its state is Absent after it has deregistered.
 func (t *Tracker) Current() Incarnation {
@@ -131,8 +139,8 @@
 
 // Observe processes a heartbeat. After an incarnation has deregistered, its heartbeats are
 // stale. checkable is set if the upstream's health can be checked. Until it can, for example
-// before the first configuration, a heartbeat is taken at its word, so that an outage of control
-// does not take upstreams out of service.
+// before the first configuration, a heartbeat that may be old is taken at its word, so that an outage
+// of control does not take upstreams out of service.
 func (t *Tracker) Observe(now time.Time, h Heartbeat, checkable bool) HeartbeatResult {
 	if h.Service != t.service {
 		return WrongService
@@ -159,7 +167,10 @@
 	} else if !t.foundByHealthCheck(h.ID) {
 		t.confirmation = unconfirmed
 	}
-	if t.confirmation == unconfirmed && !checkable && h.ID != t.lastDeparted {
+	switch {
+	case !t.mayPrecedeDeparture(now, h.ID):
+		t.confirmation = confirmed
+	case t.confirmation == unconfirmed && !checkable && h.ID != t.lastDeparted:
 		t.confirmation = assumed
 	}
 	t.current = Incarnation{ID: h.ID, StartedAtMs: h.StartedAtMs, State: h.State, Slots: h.Slots, WarmUntil: now.Add(h.WarmUp)}
@@ -167,6 +178,13 @@
 	return Accepted
 }
 
+// mayPrecedeDeparture reports whether the sender of a heartbeat that arrives now may have left after it
+// sent the heartbeat: either before the daemon started, or when the daemon did not know which of its
+// incarnations left.
+func (t *Tracker) mayPrecedeDeparture(now time.Time, id string) bool {
+	return now.Sub(t.startedAt) < MaxHeartbeatDelay || id == t.lastDeparted && now.Sub(t.departedAt) < MaxHeartbeatDelay
+}
+
 // foundByHealthCheck reports whether the current incarnation has the given id, was found by a health
 // check and has not left since. The heartbeat of such an id adds the start of the incarnation.
 func (t *Tracker) foundByHealthCheck(id string) bool {
@@ -175,9 +193,9 @@
 
 // Deregister records that an incarnation has deregistered. It reports whether that was the
 // current one.
-func (t *Tracker) Deregister(id string) bool {
+func (t *Tracker) Deregister(now time.Time, id string) bool {
 	t.departures++
-	t.lastDeparted = id
+	t.lastDeparted, t.departedAt = id, now
 	if id != t.current.ID || t.current.ID == "" {
 		return false
 	}
@@ -195,7 +213,7 @@
 const (
 	CheckNotReady HealthCheckResult = iota // the upstream is leaving or unhealthy
 	CheckReady                             // the upstream is not leaving
-	CheckUnusable                          // the upstream has no health check, so the heartbeats have to do
+	CheckUnusable                          // the upstream has no health check, so its heartbeats have to do
 )
 
 var checkResultNames = [...]string{"not-ready", "ready", "unusable"}
@@ -204,7 +222,7 @@
 func (r HealthCheckResult) String() string { return checkResultNames[r] }
 
 // NeedsHealthCheck reports whether a health check would tell something: no incarnation is known,
-// for example because this daemon has just been restarted, or none has confirmed the current one.
+// for example because this daemon has just been restarted, or the current one is not confirmed.
 func (t *Tracker) NeedsHealthCheck() bool {
 	if t.current.ID == "" {
 		return true
--- a/core/lifecycle/tracker_test.go
+++ b/core/lifecycle/tracker_test.go
@@ -21,14 +21,14 @@
 // TestLateHeartbeatOfFormerIncarnation guards against a heartbeat that a partition delays
 // until its sender has crashed and another incarnation has registered.
 func TestLateHeartbeatOfFormerIncarnation(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 9, Ready), true))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-2", 200, 1, Ready), true))
 	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 10, Draining), true))
 	require.Equal(t, "i-2", tracker.Current().ID)
 	checkHealth(tracker, "i-2", CheckReady)
 	require.Equal(t, Ready, tracker.Current().State)
-	require.False(t, tracker.Deregister("i-1"))
+	require.False(t, tracker.Deregister(start, "i-1"))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-2", 300, 1, Ready), true), "a new incarnation with the same id starts its own sequence")
 	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-2", 200, 50, Ready), true))
 }
@@ -36,13 +36,13 @@
 // TestDrainingIsFinal guards a draining upstream against new requests: neither a late
 // heartbeat nor one after it has deregistered makes it ready again.
 func TestDrainingIsFinal(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	tracker.Observe(start, heartbeat("i-1", 100, 1, Ready), true)
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 3, Draining), true))
 	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 2, Ready), true))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 4, Ready), true))
 	require.Equal(t, Draining, tracker.Current().State)
-	require.True(t, tracker.Deregister("i-1"))
+	require.True(t, tracker.Deregister(start, "i-1"))
 	require.Equal(t, Absent, tracker.Current().State)
 	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 5, Ready), true))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 101, 1, Ready), true))
@@ -52,7 +52,7 @@
 
 // TestHeartbeatOfWrongService guards against an upstream of another service at this daemon.
 func TestHeartbeatOfWrongService(t *testing.T) {
-	tracker := NewTracker("rounds")
+	tracker := NewTracker(start, "rounds")
 	require.Equal(t, WrongService, tracker.Observe(start, heartbeat("i-1", 100, 1, Ready), true))
 	require.Equal(t, Absent, tracker.Current().State)
 }
@@ -60,7 +60,7 @@
 // TestHealthCheckBeforeFirstHeartbeat guards a daemon that starts while the upstream is
 // already running: it serves after a health check, and the next heartbeat takes precedence.
 func TestHealthCheckBeforeFirstHeartbeat(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	check := tracker.BeginHealthCheck()
 	tracker.ObserveHealthCheck(check, "i-1", 4, CheckReady)
 	require.Equal(t, Ready, tracker.Current().State)
@@ -77,20 +77,20 @@
 // TestDrainingAfterOddSequence guards against a heartbeat of another writer with a sequence that no
 // later heartbeat of the upstream reaches: the upstream must still be able to drain and to leave.
 func TestDrainingAfterOddSequence(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 4, Ready), true))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, MaxSequence, Ready), true))
 	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 5, Ready), true))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 6, Draining), true))
 	require.Equal(t, Draining, tracker.Current().State)
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 6, Draining), true), "a repeated heartbeat is acknowledged again")
-	require.True(t, tracker.Deregister("i-1"))
+	require.True(t, tracker.Deregister(start, "i-1"))
 }
 
 // TestOddStartTimeIsRepaired guards against a heartbeat of another writer that claims a later start
 // than the upstream has: once the upstream has responded in its place, its heartbeats count again.
 func TestOddStartTimeIsRepaired(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 4, Ready), true))
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-odd", MaxStartedAtMs, 1, Ready), true))
 	require.Equal(t, Stale, tracker.Observe(start, heartbeat("i-1", 100, 5, Ready), true))
@@ -108,7 +108,7 @@
 func TestLateHeartbeatAfterRestart(t *testing.T) {
 	for name, foundFirst := range map[string]bool{"after a health check": true, "before a health check": false} {
 		t.Run(name, func(t *testing.T) {
-			tracker := NewTracker("photos")
+			tracker := NewTracker(start, "photos")
 			if foundFirst {
 				checkHealth(tracker, "i-1", CheckNotReady)
 				require.Equal(t, Unconfirmed, tracker.Current().State)
@@ -134,12 +134,12 @@
 // it.
 func TestDepartureDuringHealthCheck(t *testing.T) {
 	for name, depart := range map[string]func(*Tracker){
-		"deregistration":      func(tracker *Tracker) { tracker.Deregister("i-1") },
+		"deregistration":      func(tracker *Tracker) { tracker.Deregister(start, "i-1") },
 		"draining":            func(tracker *Tracker) { tracker.Observe(start, heartbeat("i-1", 100, 2, Draining), true) },
-		"unknown to a daemon": func(tracker *Tracker) { *tracker = *NewTracker("photos"); tracker.Deregister("i-1") },
+		"unknown to a daemon": func(tracker *Tracker) { *tracker = *NewTracker(start, "photos"); tracker.Deregister(start, "i-1") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			tracker := NewTracker("photos")
+			tracker := NewTracker(start, "photos")
 			tracker.Observe(start, heartbeat("i-1", 100, 1, Ready), true)
 			check := tracker.BeginHealthCheck()
 			depart(tracker)
@@ -157,7 +157,7 @@
 // has a configuration it is taken at its word, until a check is possible, and a service whose health
 // path leads nowhere is not taken out of service.
 func TestHeartbeatWithoutHealthCheck(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 1, Ready), false))
 	require.Equal(t, Ready, tracker.Current().State)
 	require.True(t, tracker.NeedsHealthCheck())
@@ -173,7 +173,7 @@
 // TestHealthCheckFindsAnotherIncarnation guards against a late heartbeat of an incarnation that has
 // ended, at a daemon that was restarted: the one that responds at the address is the current one.
 func TestHealthCheckFindsAnotherIncarnation(t *testing.T) {
-	tracker := NewTracker("photos")
+	tracker := NewTracker(start, "photos")
 	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 9, Ready), true))
 	checkHealth(tracker, "i-2", CheckReady)
 	require.Equal(t, "i-2", tracker.Current().ID)
@@ -184,3 +184,38 @@
 	checkHealth(tracker, "i-2", CheckNotReady)
 	require.Equal(t, Ready, tracker.Current().State, "an upstream that fails its health checks later is still used")
 }
+
+// TestNewHeartbeatNeedsNoHealthCheck guards against a sound upstream whose health checks say that it is
+// not: it is used as soon as its heartbeats cannot be older than the daemon.
+func TestNewHeartbeatNeedsNoHealthCheck(t *testing.T) {
+	tracker := NewTracker(start, "photos")
+	last := start.Add(MaxHeartbeatDelay - time.Millisecond)
+	require.Equal(t, Accepted, tracker.Observe(last, heartbeat("i-1", 100, 5, Ready), true))
+	checkHealth(tracker, "i-1", CheckNotReady)
+	require.Equal(t, Unconfirmed, tracker.Current().State)
+	end := start.Add(MaxHeartbeatDelay)
+	require.Equal(t, Stale, tracker.Observe(end, heartbeat("i-1", 100, 4, Ready), true))
+	require.Equal(t, Unconfirmed, tracker.Current().State)
+	require.Equal(t, Accepted, tracker.Observe(end, heartbeat("i-1", 100, 6, Ready), true))
+	require.Equal(t, Ready, tracker.Current().State)
+	require.False(t, tracker.NeedsHealthCheck())
+	require.Equal(t, Accepted, tracker.Observe(end, heartbeat("i-2", 200, 1, Ready), true))
+	require.Equal(t, Ready, tracker.Current().State, "a new incarnation")
+}
+
+// TestHeartbeatAfterUnknownDeparture guards against a late heartbeat of an incarnation that left before
+// the daemon heard of it: after the deregistration of an id, its heartbeats may be older.
+func TestHeartbeatAfterUnknownDeparture(t *testing.T) {
+	tracker := NewTracker(start, "photos")
+	now := start.Add(time.Hour)
+	require.Equal(t, Accepted, tracker.Observe(now, heartbeat("i-1", 100, 5, Ready), true))
+	require.False(t, tracker.Deregister(now, "i-2"))
+	require.Equal(t, Accepted, tracker.Observe(now, heartbeat("i-2", 200, 1, Ready), true))
+	require.Equal(t, Unconfirmed, tracker.Current().State)
+	checkHealth(tracker, "i-2", CheckNotReady)
+	require.Equal(t, Unconfirmed, tracker.Current().State)
+	require.Equal(t, Accepted, tracker.Observe(now, heartbeat("i-2", 300, 1, Ready), true))
+	require.Equal(t, Unconfirmed, tracker.Current().State)
+	checkHealth(tracker, "i-2", CheckReady)
+	require.Equal(t, Ready, tracker.Current().State, "a new incarnation with the same id")
+}
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -56,7 +56,7 @@
 }
 
 func newUpstreamProxy(f *Forwarder) *upstreamProxy {
-	l := &upstreamProxy{f: f, tracker: lifecycle.NewTracker(f.cfg.Service), checkNow: make(chan struct{}, 1), ctx: context.Background()}
+	l := &upstreamProxy{f: f, tracker: lifecycle.NewTracker(f.cfg.Now(), f.cfg.Service), checkNow: make(chan struct{}, 1), ctx: context.Background()}
 	l.pool.Dial = l.dial
 	l.health.Store(&admission.HealthTracker{})
 	return l
@@ -97,7 +97,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	previous := l.tracker.Current()
-	known := l.tracker.Deregister(id)
+	known := l.tracker.Deregister(f.cfg.Now(), id)
 	f.cfg.Logger.Info().Str("upstream", id).Bool("current", known).Msg("upstream left")
 	if known {
 		l.applyState(previous)
@@ -197,7 +197,7 @@
 	case now.State == lifecycle.Absent:
 		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "no upstream has sent a heartbeat on this VM")
 	case now.State == lifecycle.Unconfirmed:
-		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "no health check has confirmed that the upstream is not leaving")
+		return chain.NewFailure(chain.NotRun, chain.ReasonNoUpstream, "the upstream may be leaving: its heartbeats may be old, and no health check has confirmed them")
 	case l.unreachable:
 		return chain.NewFailure(chain.NotRun, chain.ReasonConnect, "the upstream accepts no connections")
 	}
