lifecycle, forward: a health check that began before the news of an upstream says nothing about it

Right after a new incarnation had been reported, its daemon could take the former one for the current one, until the next health check or request. Cause: the response of the former incarnation to a health check that was under way arrives after the first heartbeat of the new one, and its id replaced the newer one. Found by TestNewIncarnationServesRequestsForPreviousOne, which failed in some of 60 repetitions each (502: the request went to the address with the id of the former incarnation) once health checks were sent as soon as there is a configuration. Ruled out: the upstream of the test (it answers by the id that the daemon sends). Change: the result of a check holds only if neither a departure nor another incarnation was observed since it began; the next check follows at once. A new configuration triggers a check, so that a restarted daemon finds its upstream without waiting. TestUpstreamServesAfterRestart lets the first check begin before the heartbeat, so its order is fixed.

--- a/core/lifecycle/tracker.go
+++ b/core/lifecycle/tracker.go
@@ -203,8 +203,13 @@
 	return true
 }
 
-// HealthCheck is a health check of the upstream that has begun.
-type HealthCheck struct{ departures uint64 }
+// HealthCheck is a health check of the upstream that has begun. Its result holds only if there was no
+// news of the upstream since then: the response may be older than the news.
+type HealthCheck struct {
+	departures  uint64
+	id          string // of the current incarnation
+	startedAtMs int64
+}
 
 // HealthCheckResult is what a health check says about the upstream that responded.
 type HealthCheckResult uint8
@@ -231,13 +236,18 @@
 }
 
 // BeginHealthCheck returns a health check that is about to be sent.
-func (t *Tracker) BeginHealthCheck() HealthCheck { return HealthCheck{departures: t.departures} }
+func (t *Tracker) BeginHealthCheck() HealthCheck {
+	return HealthCheck{departures: t.departures, id: t.current.ID, startedAtMs: t.current.StartedAtMs}
+}
+
+// IsCurrent reports whether neither a departure nor another incarnation was observed since a health
+// check began.
+func (t *Tracker) IsCurrent(check HealthCheck) bool { return check == t.BeginHealthCheck() }
 
 // ObserveHealthCheck processes the result of a health check and the id of the incarnation that
-// responded, empty if the response did not state it. A result is ignored if a departure was
-// observed since the check began, because the response may precede the departure.
+// responded, empty if the response did not state it.
 func (t *Tracker) ObserveHealthCheck(check HealthCheck, id string, slots int, result HealthCheckResult) {
-	if check.departures != t.departures || !t.NeedsHealthCheck() {
+	if !t.IsCurrent(check) || !t.NeedsHealthCheck() {
 		return
 	}
 	other := id != "" && id != t.current.ID && result != CheckUnusable
--- a/core/lifecycle/tracker_test.go
+++ b/core/lifecycle/tracker_test.go
@@ -153,6 +153,22 @@
 	}
 }
 
+// TestNewIncarnationDuringHealthCheck guards against the response of a former incarnation to a health
+// check, which arrives after the first heartbeat of the current one.
+func TestNewIncarnationDuringHealthCheck(t *testing.T) {
+	tracker := NewTracker(start, "photos")
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-1", 100, 5, Ready), false))
+	check := tracker.BeginHealthCheck()
+	require.Equal(t, Accepted, tracker.Observe(start, heartbeat("i-2", 200, 1, Ready), true))
+	for _, result := range []HealthCheckResult{CheckReady, CheckNotReady} {
+		tracker.ObserveHealthCheck(check, "i-1", 4, result)
+		require.Equal(t, "i-2", tracker.Current().ID)
+		require.Equal(t, Unconfirmed, tracker.Current().State)
+	}
+	checkHealth(tracker, "i-2", CheckReady)
+	require.Equal(t, Ready, tracker.Current().State)
+}
+
 // TestHeartbeatWithoutHealthCheck guards an upstream whose health cannot be checked: before the daemon
 // has a configuration it is taken at its word, until a check is possible, and a service whose health
 // path leads nowhere is not taken out of service.
--- a/forward/config_view.go
+++ b/forward/config_view.go
@@ -56,6 +56,7 @@
 		return
 	}
 	f.storeView(fleet, routing.NewMatcher(fleet.Table), f.newTargetSelectors(fleet.Table), newThrottles(previous, fleet.Table))
+	f.local.requestHealthCheck() // the health path may have been unknown before
 	f.cfg.Logger.Info().Uint64("configuration", fleet.Table.Version).Int("routes", len(fleet.Table.Routes)).
 		Int("services", len(fleet.Table.Services)).Msg("configuration in force")
 }
--- a/forward/restart_test.go
+++ b/forward/restart_test.go
@@ -97,12 +97,15 @@
 			f := newTestFleet(t, ordersTable(), u)
 			f.stop[0]()
 			<-f.stopped[0]
-			var reported, firstDone atomic.Bool
+			var checks atomic.Int32
+			began, reported := make(chan struct{}), make(chan struct{})
 			u.setHealth(func(req *http.Request, c net.Conn) {
-				switch {
-				case !reported.Load():
+				switch checks.Add(1) {
+				case 1: // began before the heartbeat, so it says nothing about its sender
+					close(began)
+					<-reported
 					_ = c.Close()
-				case firstDone.CompareAndSwap(false, true):
+				case 2:
 					health.first(u, req, c)
 				default:
 					u.respond(c, req, http.StatusOK, "", "X-Instance: i-1")
@@ -120,8 +123,9 @@
 			}
 			l.mu.Unlock()
 			f.publishUpstreams([]*fakeUpstream{u})
-			reported.Store(true)
+			<-began
 			f.daemons[0].HandleHeartbeat(readyHeartbeat(u.id, 7, testSlots))
+			close(reported)
 			f.awaitState(0, lifecycle.Ready)
 			_, body := f.send(0, testRequest{kind: routing.NonIdempotent})
 			require.Equal(t, u.id, body)
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -152,7 +152,7 @@
 		l.f.metrics.recordHealthCheck("rejected")
 	}
 	if err != nil {
-		l.recordInconclusiveCheck(err)
+		l.recordInconclusiveCheck(check, err)
 		return false
 	}
 	result := checkResult(from.Status)
@@ -202,6 +202,9 @@
 func (l *upstreamProxy) recordHealthCheck(check lifecycle.HealthCheck, id string, result lifecycle.HealthCheckResult) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.tracker.IsCurrent(check) {
+		return // the next check is that of the new incarnation
+	}
 	slots := defaultSlots
 	if v := l.f.view.Load(); v != nil && v.localSlots[id] > 0 {
 		slots = v.localSlots[id]
@@ -221,9 +224,12 @@
 
 // recordInconclusiveCheck records that a health check got no response that says whether the upstream
 // is ready.
-func (l *upstreamProxy) recordInconclusiveCheck(err error) {
+func (l *upstreamProxy) recordInconclusiveCheck(check lifecycle.HealthCheck, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.tracker.IsCurrent(check) {
+		return // as above
+	}
 	now := l.tracker.Current()
 	if now.State == lifecycle.Unconfirmed && !l.checkFailed {
 		l.logHealthCheck(now, "inconclusive").Err(err).Msg("upstream health check")
