--- a/forward/call.go
+++ b/forward/call.go
@@ -100,10 +100,10 @@
 	status  int
 	header  http.Header // end-to-end headers
 	body    []byte
-	stream  io.Reader // replaces body
-	length  int64     // of the stream, -1 if unknown
-	release func()    // releases the stream's connection; nil if the body is buffered
-	buffer  *bodyBuffer
+	stream  io.Reader   // replaces body
+	length  int64       // of the stream, -1 if unknown
+	release func()      // releases the stream's connection; nil if the body is buffered
+	buffer  *bodyBuffer // holds the body, or the beginning of the stream
 }
 
 // onRelease calls f once the response needs its connection no longer: at once if the body is
@@ -155,7 +155,7 @@
 type bodyBuffer struct {
 	bytes    []byte
 	complete bool
-	maxSize  int64
+	maxSize  int64 // of bytes
 	budget   *bufferBudget
 	reserved int64 // bytes of the budget
 }
