httpwire: the limit of a discarded body counts what was read with the head

Cause: the limit was set after the head had been parsed and counted only what was read from the connection from then on. Up to 4 KiB of the body (the read buffer) arrive together with the head if both are sent in time.

Ruled out: that the rest of a body is read as the next response, which the test guards against. The body is read to its end in these runs; only the verdict depends on the parts in which it arrives.

Change: setLimit takes the number of bytes that are buffered, as limitLines does, so that none of its callers can leave them out. The heads counted them before.

Before: 4 of the 30 cases of the new TestLimitOfDiscardedBody fail (chunked, one byte over the limit, the end of the head and the beginning of the body in one part).

--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -81,7 +81,8 @@
 	maxExchanges = 2000
 	// maxMismatched is the number of responses to other requests that are discarded.
 	maxMismatched = 4
-	// maxMismatchedBody is the maximum size in bytes of the body of a discarded response.
+	// maxMismatchedBody is the maximum size in bytes of the body of a discarded response, as sent: the
+	// sizes of its chunks count as well.
 	maxMismatchedBody = 1 << 20
 	// maxInlineBody is the size in bytes up to which a body is sent before the response is read. It
 	// fits into the send buffer of a connection.
@@ -281,7 +282,7 @@
 // readResponse reads response heads until one belongs to the request. The limit applies to all
 // heads together, so that interim responses without end are detected as well.
 func (c *ClientConn) readResponse(req *ClientRequest) (*ClientResponse, error) {
-	c.limitedSource.setLimit(max(maxResponseHead-c.reader.Buffered(), 0))
+	c.limitedSource.setLimit(maxResponseHead, c.reader.Buffered())
 	defer c.limitedSource.clearLimit()
 	c.parserRequest.Method = req.Method
 	for mismatched := 0; mismatched <= maxMismatched; {
@@ -299,11 +300,11 @@
 			}
 		case resp.StatusCode < 200:
 		case req.MatchResponse != nil && !req.MatchResponse(resp.Header):
-			c.limitedSource.setLimit(maxMismatchedBody)
+			c.limitedSource.setLimit(maxMismatchedBody, c.reader.Buffered())
 			if err := c.discardResponse(resp); err != nil {
 				return nil, err
 			}
-			c.limitedSource.setLimit(max(maxResponseHead-c.reader.Buffered(), 0))
+			c.limitedSource.setLimit(maxResponseHead, c.reader.Buffered())
 			mismatched++
 		case resp.ContentLength > maxResponseBody:
 			return nil, ErrResponseTooLarge
--- a/httpwire/endless_response_test.go
+++ b/httpwire/endless_response_test.go
@@ -1,7 +1,11 @@
 package httpwire
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -143,3 +147,41 @@
 		})
 	}
 }
+
+// TestLimitOfDiscardedBody guards against a limit that depends on how a body arrives: what was read
+// together with the head did not count, so that some bodies over the limit were read whole.
+func TestLimitOfDiscardedBody(t *testing.T) {
+	withLength := func(size int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("a", size)
+	}
+	chunked := func(size int) string {
+		body := appendChunk(nil, bytes.Repeat([]byte{'a'}, size-len("fffff\r\n\r\n0\r\n\r\n")))
+		return "HTTP/1.1 200 OK\r\nId: 9\r\nTransfer-Encoding: chunked\r\n\r\n" + string(body) + "0\r\n\r\n"
+	}
+	for framing, response := range map[string]func(int) string{"length": withLength, "chunks": chunked} {
+		for _, size := range []int{maxMismatchedBody - 1, maxMismatchedBody, maxMismatchedBody + 1} {
+			sent := response(size)
+			head := len(sent) - size
+			for _, first := range []int{head - 1, head, head + 1, head + 1000, readBufferBytes} {
+				t.Run(fmt.Sprintf("%s/%d bytes/%d first", framing, size, first), func(t *testing.T) {
+					client, server := net.Pipe() // each write is at least one read
+					t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+					go func() {
+						if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+							return
+						}
+						_, _ = io.WriteString(server, sent[:first])           // the client may close the connection
+						_, _ = io.WriteString(server, sent[first:]+response1) // as above
+					}()
+					resp, err := NewClientConn(client).Do(testContext(t), getRequest("1"))
+					if size > maxMismatchedBody {
+						require.ErrorIs(t, err, ErrMismatch)
+						return
+					}
+					require.NoError(t, err)
+					require.Equal(t, "one", readBody(t, resp))
+				})
+			}
+		}
+	}
+}
--- a/httpwire/limited_reader.go
+++ b/httpwire/limited_reader.go
@@ -17,8 +17,12 @@
 // noLimit is the value of limitedReader.remaining without a limit.
 const noLimit = -1
 
-// setLimit limits the number of bytes. It removes the limit of lines.
-func (l *limitedReader) setLimit(n int) { l.remaining, l.exceeded, l.lines = n, false, lineCounter{} }
+// setLimit limits the number of bytes. buffered of them have been read before: whether the rest of
+// the input is within the limit must not depend on the parts in which it arrives. It removes the limit
+// of lines.
+func (l *limitedReader) setLimit(n, buffered int) {
+	l.remaining, l.exceeded, l.lines = max(n-buffered, 0), false, lineCounter{}
+}
 
 // limitLines limits the number of lines of the next head. buffered is the part of it that has been read
 // before.
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -147,7 +147,7 @@
 }
 
 func (c *serverConn) readHead(limits RequestLimits) (*http.Request, error) {
-	c.limitedSource.setLimit(max(limits.HeaderBytes-c.reader.Buffered(), 0))
+	c.limitedSource.setLimit(limits.HeaderBytes, c.reader.Buffered())
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection, which the read reports
 	req, err := http.ReadRequest(c.reader)
 	_ = c.nc.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
