httpwire: a request head over the limit is rejected however it arrives

Seen: with a limit below 4 KiB, a request head over it got 200 when all of it arrived in one part, and 431 when it arrived in several.

Cause: the limit applies to reads from the connection. A head that is in the read buffer as a whole, alone or behind an earlier request, is parsed without such a read.

Change: the size of a head is taken from what the parser consumed and compared with the limit as well.

--- a/httpwire/limited_reader.go
+++ b/httpwire/limited_reader.go
@@ -9,8 +9,9 @@
 // each header takes much more memory than its bytes.
 type limitedReader struct {
 	src       io.Reader
-	remaining int  // noLimit for no limit
-	exceeded  bool // a read was attempted at a limit
+	total     int64 // bytes read so far
+	remaining int   // noLimit for no limit
+	exceeded  bool  // a read was attempted at a limit
 	lines     lineCounter
 }
 
@@ -43,6 +44,7 @@
 		p = p[:l.remaining]
 	}
 	n, err := l.src.Read(p)
+	l.total += int64(n)
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -174,6 +174,41 @@
 	}
 }
 
+// TestHeadLimitOfSmallHeads guards against a limit that depends on how a head arrives: one over the limit
+// passed if all of it was in the read buffer, alone or behind the body of an earlier request.
+func TestHeadLimitOfSmallHeads(t *testing.T) {
+	_, address := serve(t, func(x *ServerExchange) {
+		if x.Body != nil {
+			_, err := io.ReadAll(x.Body)
+			require.NoError(t, err)
+		}
+		respond(x, 200, "")
+	})
+	const prefix, suffix = "GET / HTTP/1.1\r\nHost: a\r\nX: ", "\r\n\r\n"
+	for size, want := range map[int]int{2047: 200, 2048: 200, 2049: 431, 3000: 431} {
+		head := prefix + strings.Repeat("x", size-len(prefix)-len(suffix)) + suffix
+		for before, request := range map[string]string{
+			"alone":           "",
+			"behind a body":   "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+			"behind a header": "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		} {
+			for _, first := range []int{1, 1000, size} {
+				t.Run(fmt.Sprintf("%d bytes/%s/%d first", size, before, first), func(t *testing.T) {
+					c := dialRaw(t, address)
+					c.send("%s", request+head[:first])
+					c.send("%s", head[first:])
+					if request != "" {
+						resp, _ := c.readResponse()
+						require.Equal(t, 200, resp.StatusCode)
+					}
+					resp, _ := c.readResponse()
+					require.Equal(t, want, resp.StatusCode)
+				})
+			}
+		}
+	}
+}
+
 // TestDrainClosesConnectionAfterLastResponse checks that during a graceful shutdown pipelined
 // requests that were read are completed, and that only the last response closes the connection.
 func TestDrainClosesConnectionAfterLastResponse(t *testing.T) {
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -149,10 +149,12 @@
 func (c *serverConn) readHead(limits RequestLimits) (*http.Request, error) {
 	c.limitedSource.setLimit(limits.HeaderBytes, c.reader.Buffered())
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection, which the read reports
+	start := c.consumed()
 	req, err := http.ReadRequest(c.reader)
 	_ = c.nc.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
 	c.limitedSource.clearLimit()
-	if c.limitedSource.exceeded {
+	// A head that was buffered as a whole is parsed without a read at the limit.
+	if c.limitedSource.exceeded || c.consumed()-start > int64(limits.HeaderBytes) {
 		return nil, &ParseError{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers exceed the limit"}
 	}
 	if err != nil {
@@ -164,6 +166,9 @@
 	return req, nil
 }
 
+// consumed returns the number of bytes that the client sent and that are no longer buffered.
+func (c *serverConn) consumed() int64 { return c.limitedSource.total - int64(c.reader.Buffered()) }
+
 // headError classifies an error while reading a head. If the connection was closed within the head,
 // there is no request to respond to.
 func headError(err error) error {
