freeport: tests get addresses that belong to nobody else

Cause: freeAddress of package control drew one of 4,000 ports at random, checked that nothing listens there and kept no record of what it had given out. Two replicas of a test can get the same address, because the first one has not started yet or has stopped: 10 of 2,000 draws of six addresses, as this test takes, had two equal ones.

Ruled out: outgoing connections, since the ports are below the ephemeral range here (32,768 and above), and packages integration and relay, whose ports are outside 28,000 to 32,000.

Change: internal/freeport gives each address once, on a loopback IP that is derived from the process id, so that neither the same test nor another process can have it.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -14,6 +12,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/control/client"
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 )
 
 // testTimeout limits every wait of a test. It is far longer than a passing test takes.
@@ -38,7 +37,7 @@
 func newCluster(t testing.TB, replicas, shards int) *cluster {
 	c := &cluster{t: t, dir: t.TempDir(), shards: shards, peers: map[uint64]string{}, running: map[uint64]*process{}}
 	for id := uint64(1); id <= uint64(replicas); id++ {
-		c.peers[id] = freeAddress(t)
+		c.peers[id] = freeport.Address(t)
 	}
 	t.Cleanup(func() {
 		for id := range c.running {
@@ -48,19 +47,6 @@
 	return c
 }
 
-// freeAddress returns an address with a free port below the range of ephemeral ports:
-// otherwise an outgoing connection could use the port while a replica restarts.
-func freeAddress(t testing.TB) string {
-	for {
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 28_000+rand.IntN(4_000)))
-		if err != nil {
-			continue
-		}
-		require.NoError(t, l.Close())
-		return l.Addr().String()
-	}
-}
-
 func (c *cluster) config(id uint64, address string) Config {
 	cfg := Config{
 		ReplicaID: id, ListenAddress: address, Peers: c.peers, ClaimShards: c.shards,
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -19,6 +19,7 @@
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/raft"
 	"github.com/bilberrydeck/bilberrydeck/core/statemachine"
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -54,7 +55,7 @@
 		}
 	})
 	for range replicas {
-		c.addresses = append(c.addresses, freeAddress(t))
+		c.addresses = append(c.addresses, freeport.Address(t))
 	}
 	t.Cleanup(func() {
 		for address := range c.running {
@@ -248,7 +249,7 @@
 	t, id := c.t, c.voters()[stopped]
 	c.stop(stopped)
 	leader := c.awaitLeader()
-	replacement := freeAddress(t)
+	replacement := freeport.Address(t)
 	p := c.start(replacement, false)
 	require.Eventually(t, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -273,7 +274,7 @@
 
 // newReplacement returns a new address in the availability zone of another one.
 func (c *discoveryCluster) newReplacement(of string) string {
-	address := freeAddress(c.t)
+	address := freeport.Address(c.t)
 	c.zones[address] = cmp.Or(c.zones[of], "zone-of-"+of)
 	return address
 }
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 )
 
 // cluster is a complete system on loopback: three control replicas and one daemon
@@ -56,7 +58,7 @@
 	c := newControls(t, secured)
 	relays := map[string][]string{} // by availability zone
 	for service := range calleeOf {
-		n := &node{ingress: freePort(t), egress: freePort(t), peer: freePort(t), admin: freePort(t), feed: freePort(t)}
+		n := &node{ingress: freeport.Address(t), egress: freeport.Address(t), peer: freeport.Address(t), admin: freeport.Address(t), feed: freeport.Address(t)}
 		c.daemons[service] = n
 		relays[azOf[service]] = append(relays[azOf[service]], n.feed)
 	}
@@ -80,7 +82,7 @@
 
 // startControls starts the three bootstrap replicas.
 func (c *cluster) startControls(t *testing.T) {
-	addresses := []string{freePort(t), freePort(t), freePort(t)}
+	addresses := []string{freeport.Address(t), freeport.Address(t), freeport.Address(t)}
 	c.initialControls = addresses
 	for i, address := range addresses {
 		c.startControl(t, i+1, address, addresses, false)
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -15,6 +15,7 @@
 	"github.com/bilberrydeck/bilberrydeck/declaration"
 	"github.com/bilberrydeck/bilberrydeck/emulator"
 	"github.com/bilberrydeck/bilberrydeck/internal/faultproxy"
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 )
 
 // controlGroup is a set of control processes. Each replica dials each other replica
@@ -34,7 +35,7 @@
 		links: make(map[[2]int]*faultproxy.Proxy), procs: make(map[int]*process),
 	}
 	for _, id := range ids {
-		g.address[id] = freePort(t)
+		g.address[id] = freeport.Address(t)
 	}
 	for _, id := range ids {
 		g.startReplica(id, false, ids)
@@ -45,7 +46,7 @@
 // startReplica writes the settings of a replica and starts it.
 func (g *controlGroup) startReplica(id int, join bool, peers []int) {
 	if g.address[id] == "" {
-		g.address[id] = freePort(g.t)
+		g.address[id] = freeport.Address(g.t)
 	}
 	var list, dial []string
 	for _, peer := range peers {
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 )
 
 // fleet is a cluster with one service, "jobs", in one availability zone. It has two
@@ -65,7 +67,7 @@
 
 // newNode returns a node with free listen addresses.
 func newNode(t *testing.T) *node {
-	return &node{ingress: freePort(t), egress: freePort(t), peer: freePort(t), admin: freePort(t), feed: freePort(t)}
+	return &node{ingress: freeport.Address(t), egress: freeport.Address(t), peer: freeport.Address(t), admin: freeport.Address(t), feed: freeport.Address(t)}
 }
 
 // startDaemon writes the settings of a daemon, with the fields that extraFields returns,
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -167,29 +165,6 @@
 	require.FailNow(t, "timed out waiting", description)
 }
 
-// nextPort counts ports below the ephemeral port range of the operating system, so
-// that no outgoing connection occupies an address on which a process is about to
-// listen.
-var nextPort = func() *atomic.Int32 {
-	p := &atomic.Int32{}
-	p.Store(int32(15_000 + os.Getpid()%120*100))
-	return p
-}()
-
-// freePort returns a loopback address on which nothing listens.
-func freePort(t testing.TB) string {
-	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			require.NoError(t, l.Close())
-			return address
-		}
-	}
-	require.FailNow(t, "no free port")
-	return ""
-}
-
 func writeFile(t testing.TB, dir, name, text string) string {
 	path := filepath.Join(dir, name)
 	require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
--- a/integration/replica_test.go
+++ b/integration/replica_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 )
 
 // killAndForget kills a control replica and removes it from the list of replicas.
@@ -22,7 +24,7 @@
 	require.Equal(t, 0, code, errs)
 	initial := c.initialControls
 	c.killAndForget(initial[1])
-	added := freePort(t)
+	added := freeport.Address(t)
 	c.startControl(t, 4, added, initial, true)
 	out, errs, code := runCommand(t, "replica", "replace", "-old", "2", "-new", "4", "-address", added,
 		"-controls", strings.Join(c.addresses(), ","))
--- a/process/fleet_test.go
+++ b/process/fleet_test.go
@@ -3,23 +3,20 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
 // TestHTTPListenersAreReleased guards against a control process that restarts its replica while
 // the listeners of the former replica are still open: the addresses would be in use.
 func TestHTTPListenersAreReleased(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := l.Addr().String()
-	require.NoError(t, l.Close())
+	address := freeport.Address(t)
 	for range 200 {
 		var wg sync.WaitGroup
 		ctx, cancel := context.WithCancel(context.Background())
--- a/relay/helpers_test.go
+++ b/relay/helpers_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/feed"
+	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
 )
 
 // testTimeout limits every wait of a test. It is far longer than needed, so that no test fails on a
@@ -177,14 +178,6 @@
 	return listener.Addr().String(), p
 }
 
-func freeAddress(tb testing.TB) string {
-	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(tb, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // az is an availability zone with its relays.
 type az struct {
 	name          string
@@ -200,7 +193,7 @@
 func newAZ(tb testing.TB, name string, n int, sources ...Endpoint) *az {
 	a := &az{name: name, sources: sources, relays: make([]*process, n), runningRelays: make([]*Relay, n)}
 	for i := range n {
-		a.endpoints = append(a.endpoints, Endpoint{Name: fmt.Sprintf("%s-relay-%d", name, i), Address: freeAddress(tb)})
+		a.endpoints = append(a.endpoints, Endpoint{Name: fmt.Sprintf("%s-relay-%d", name, i), Address: freeport.Address(tb)})
 	}
 	return a
 }
