forward: a response to a request is no response to a health check

An upstream may send a response once more, or late, where the next one is expected. For the first 10 s of a daemon a health check decides whether the upstream is used, so such a 200 brought a leaving upstream back into use.

Cause: sendHealthCheck set no MatchResponse, as calls do.

Ruled out: that the id of the responder tells them apart. A response without it counts for the current incarnation, since not every service states it.

Change: a response with a request id, which a health check does not send, is discarded like one to another request.

Before: TestHealthCheckIgnoresResponsesToRequests fails, the first check confirms the upstream.

--- a/forward/restart_test.go
+++ b/forward/restart_test.go
@@ -139,3 +139,27 @@
 		})
 	}
 }
+
+// TestHealthCheckIgnoresResponsesToRequests guards against a response to an earlier request, which an
+// upstream sends once more on a kept connection, that is taken for the response to a health check: an
+// upstream that is leaving would be used.
+func TestHealthCheckIgnoresResponsesToRequests(t *testing.T) {
+	u := newFakeUpstream(t, "i-1", nil)
+	f := newTestFleet(t, ordersTable(), u)
+	f.awaitState(0, lifecycle.Ready)
+	_, body := f.send(0, testRequest{kind: routing.NonIdempotent})
+	require.Equal(t, "i-1", body)
+	answered := u.requests()[0]
+	var checks atomic.Int32
+	u.setHealth(func(req *http.Request, c net.Conn) {
+		u.respond(c, answered, http.StatusOK, "", "X-Instance: i-2") // for the request that was answered before
+		u.respond(c, req, http.StatusServiceUnavailable, "", "X-Instance: i-2")
+		checks.Add(1)
+	})
+	next := readyHeartbeat("i-2", 1, testSlots)
+	next.StartedAtMs++
+	require.Equal(t, lifecycle.Accepted, f.daemons[0].HandleHeartbeat(next))
+	require.Eventually(t, func() bool { return checks.Load() >= 2 }, testTimeout, time.Millisecond)
+	require.Equal(t, lifecycle.Unconfirmed, f.daemons[0].local.current().State)
+	require.Len(t, u.requests(), 1)
+}
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -185,7 +185,10 @@
 	if err != nil {
 		return nil, err // no upstream is running yet, or none any more
 	}
-	from, err := conn.Do(ctx, &httpwire.ClientRequest{Method: http.MethodGet, Target: path, Host: l.f.cfg.UpstreamAddress, Header: http.Header{}})
+	from, err := conn.Do(ctx, &httpwire.ClientRequest{
+		Method: http.MethodGet, Target: path, Host: l.f.cfg.UpstreamAddress, Header: http.Header{},
+		MatchResponse: l.isHealthCheckResponse,
+	})
 	if err != nil {
 		conn.Close()
 		return nil, err
@@ -198,6 +201,13 @@
 	return from, nil
 }
 
+// isHealthCheckResponse reports whether a response belongs to a health check. A response with a request
+// id is a late or repeated one to a request that the connection has carried, and says nothing about the
+// present state.
+func (l *upstreamProxy) isHealthCheckResponse(h http.Header) bool {
+	return h.Get(l.f.cfg.HeaderNames.RequestID) == ""
+}
+
 // recordHealthCheck applies the result of a health check.
 func (l *upstreamProxy) recordHealthCheck(check lifecycle.HealthCheck, id string, result lifecycle.HealthCheckResult) {
 	l.mu.Lock()
