lifecycle: a freeze of the daemon does not make heartbeats newer

The time was counted by the clock. A daemon that is restarted and then frozen for longer finds the time over when it wakes, and takes a heartbeat that arrived while it was frozen for a new one, without a health check: an upstream that had left is used again.

Cause: what matters is for how long the daemon has read what arrives, not for how long it has existed. The same holds for the 10 s after a deregistration of an unknown id.

Change: the tracker counts the time that the daemon has run. The monitor of the upstream ticks every 100 ms; an interval beyond 2 s counts as 2 s, since a health check and an attempt to connect take up to 1.5 s of it.

Before: TestHeartbeatReadAfterFreeze (all three cases) and TestLateHeartbeatAfterFreeze fail, the state is ready in place of unconfirmed. After: both pass, the second one five times under the race detector. Two older tests now play a running daemon where they let the clock jump; what they assert is the same.

--- a/core/lifecycle/tracker.go
+++ b/core/lifecycle/tracker.go
@@ -44,8 +44,14 @@
 	MaxIDBytes = 256
 )
 
-// MaxHeartbeatDelay is the time within which a heartbeat arrives, if it does.
-const MaxHeartbeatDelay = 10 * time.Second
+const (
+	// MaxHeartbeatDelay is the time within which a heartbeat arrives, if it does, without the time for
+	// which its receiver was frozen.
+	MaxHeartbeatDelay = 10 * time.Second
+	// maxTickInterval is the longest interval between two calls of Tick while the daemon runs. A longer
+	// one means that it was frozen.
+	maxTickInterval = 2 * time.Second
+)
 
 // ValidID reports whether the id of an upstream can be sent in a header and in the messages between
 // daemons.
@@ -110,16 +116,27 @@
 	sequence      uint64
 	lastHeartbeat time.Time
 	deregistered  bool
-	startedAt     time.Time
-	departures    uint64 // number of observed departures: draining heartbeats and deregistrations
-	lastDeparted  string // id that deregistered last, whether or not it was the current one
-	departedAt    time.Time
-	responder     string // id that responded in place of the current incarnation, empty if none did
+	departures    uint64        // number of observed departures: draining heartbeats and deregistrations
+	lastDeparted  string        // id that deregistered last, whether or not it was the current one
+	departedAt    time.Duration // value of runningTime
+	responder     string        // id that responded in place of the current incarnation, empty if none did
+
+	lastTick time.Time
+	ran      time.Duration // from the start of the daemon to lastTick, without freezes
 }
 
 // NewTracker returns a Tracker for upstreams of a service, at the start of the daemon.
 func NewTracker(now time.Time, service string) *Tracker {
-	return &Tracker{service: service, startedAt: now}
+	return &Tracker{service: service, lastTick: now}
+}
+
+// Tick records that the daemon is running. A frozen daemon does not read the heartbeats that arrive, so
+// the time of a freeze does not make them newer.
+func (t *Tracker) Tick(now time.Time) { t.ran, t.lastTick = t.runningTime(now), now }
+
+// runningTime returns for how long the daemon has been running, without freezes.
+func (t *Tracker) runningTime(now time.Time) time.Duration {
+	return t.ran + min(now.Sub(t.lastTick), maxTickInterval)
 }
 
 // Current returns the current incarnation. Its state is Absent after it has deregistered.
@@ -182,7 +199,8 @@
 // sent the heartbeat: either before the daemon started, or when the daemon did not know which of its
 // incarnations left.
 func (t *Tracker) mayPrecedeDeparture(now time.Time, id string) bool {
-	return now.Sub(t.startedAt) < MaxHeartbeatDelay || id == t.lastDeparted && now.Sub(t.departedAt) < MaxHeartbeatDelay
+	ran := t.runningTime(now)
+	return ran < MaxHeartbeatDelay || id == t.lastDeparted && ran-t.departedAt < MaxHeartbeatDelay
 }
 
 // foundByHealthCheck reports whether the current incarnation has the given id, was found by a health
@@ -195,7 +213,7 @@
 // current one.
 func (t *Tracker) Deregister(now time.Time, id string) bool {
 	t.departures++
-	t.lastDeparted, t.departedAt = id, now
+	t.lastDeparted, t.departedAt = id, t.runningTime(now)
 	if id != t.current.ID || t.current.ID == "" {
 		return false
 	}
--- a/core/lifecycle/tracker_test.go
+++ b/core/lifecycle/tracker_test.go
@@ -18,6 +18,14 @@
 	tracker.ObserveHealthCheck(tracker.BeginHealthCheck(), id, 4, result)
 }
 
+// run plays a daemon that runs without a freeze.
+func run(tracker *Tracker, from, to time.Time) {
+	for now := from; now.Before(to); now = now.Add(100 * time.Millisecond) {
+		tracker.Tick(now)
+	}
+	tracker.Tick(to)
+}
+
 // TestLateHeartbeatOfFormerIncarnation guards against a heartbeat that a partition delays
 // until its sender has crashed and another incarnation has registered.
 func TestLateHeartbeatOfFormerIncarnation(t *testing.T) {
@@ -206,6 +214,7 @@
 func TestNewHeartbeatNeedsNoHealthCheck(t *testing.T) {
 	tracker := NewTracker(start, "photos")
 	last := start.Add(MaxHeartbeatDelay - time.Millisecond)
+	run(tracker, start, last)
 	require.Equal(t, Accepted, tracker.Observe(last, heartbeat("i-1", 100, 5, Ready), true))
 	checkHealth(tracker, "i-1", CheckNotReady)
 	require.Equal(t, Unconfirmed, tracker.Current().State)
@@ -224,6 +233,7 @@
 func TestHeartbeatAfterUnknownDeparture(t *testing.T) {
 	tracker := NewTracker(start, "photos")
 	now := start.Add(time.Hour)
+	run(tracker, start, now)
 	require.Equal(t, Accepted, tracker.Observe(now, heartbeat("i-1", 100, 5, Ready), true))
 	require.False(t, tracker.Deregister(now, "i-2"))
 	require.Equal(t, Accepted, tracker.Observe(now, heartbeat("i-2", 200, 1, Ready), true))
@@ -235,3 +245,31 @@
 	checkHealth(tracker, "i-2", CheckReady)
 	require.Equal(t, Ready, tracker.Current().State, "a new incarnation with the same id")
 }
+
+// TestHeartbeatReadAfterFreeze guards against a late heartbeat that arrives while the restarted daemon is
+// frozen: when it is read, the daemon has existed for long enough, but would not know of a departure.
+func TestHeartbeatReadAfterFreeze(t *testing.T) {
+	for name, ticked := range map[string]bool{"before the first tick": false, "after it": true} {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker(start, "photos")
+			run(tracker, start, start.Add(time.Second))
+			now := start.Add(time.Minute)
+			if ticked {
+				tracker.Tick(now)
+			}
+			require.Equal(t, Accepted, tracker.Observe(now, heartbeat("i-1", 100, 5, Ready), true))
+			require.Equal(t, Unconfirmed, tracker.Current().State)
+			require.False(t, tracker.Deregister(now, "i-2"))
+			end := now.Add(MaxHeartbeatDelay)
+			run(tracker, now, end)
+			require.Equal(t, Accepted, tracker.Observe(end, heartbeat("i-1", 100, 6, Ready), true))
+			require.Equal(t, Ready, tracker.Current().State, "a heartbeat that is new enough")
+		})
+	}
+	tracker := NewTracker(start, "photos")
+	now := start.Add(time.Hour)
+	run(tracker, start, now)
+	require.False(t, tracker.Deregister(now, "i-1"))
+	require.Equal(t, Accepted, tracker.Observe(now.Add(time.Minute), heartbeat("i-1", 100, 5, Ready), true))
+	require.Equal(t, Unconfirmed, tracker.Current().State, "after a departure")
+}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -131,7 +131,8 @@
 	table   *routing.Table
 	logger  *logging.Logger // nil discards the lines before they are formatted
 
-	clockDelay atomic.Int64 // nanoseconds that each reading of the clock takes
+	clockDelay  atomic.Int64 // nanoseconds that each reading of the clock takes
+	clockOffset atomic.Int64 // nanoseconds that the clock is ahead of testClock
 }
 
 const testSlots = 4
@@ -147,7 +148,7 @@
 
 func (f *testFleet) now() time.Time {
 	time.Sleep(time.Duration(f.clockDelay.Load()))
-	return testClock()
+	return testClock().Add(time.Duration(f.clockOffset.Load()))
 }
 
 // startDaemon starts the daemon of an upstream, which sends its first heartbeat.
--- a/forward/restart_test.go
+++ b/forward/restart_test.go
@@ -163,3 +163,23 @@
 	require.Equal(t, lifecycle.Unconfirmed, f.daemons[0].local.current().State)
 	require.Len(t, u.requests(), 1)
 }
+
+// TestLateHeartbeatAfterFreeze guards against a late heartbeat that arrives while a restarted daemon is
+// frozen and is taken for a new one after that. A daemon that runs for as long uses the upstream.
+func TestLateHeartbeatAfterFreeze(t *testing.T) {
+	leaving, _ := leavingUpstream(t)
+	f := newTestFleet(t, ordersTable(), leaving)
+	f.daemons[0].DeregisterUpstream(leaving.id)
+	f.restartDaemon(0, leaving)
+	f.publishUpstreams([]*fakeUpstream{leaving})
+	f.clockOffset.Add(int64(10 * lifecycle.MaxHeartbeatDelay))
+	require.Equal(t, lifecycle.Accepted, f.daemons[0].HandleHeartbeat(readyHeartbeat(leaving.id, 1, testSlots)))
+	require.Equal(t, lifecycle.Unconfirmed, f.daemons[0].local.current().State)
+	sequence := uint64(1)
+	require.Eventually(t, func() bool {
+		f.clockOffset.Add(int64(time.Second))
+		sequence++
+		f.daemons[0].HandleHeartbeat(readyHeartbeat(leaving.id, sequence, testSlots))
+		return f.daemons[0].local.current().State == lifecycle.Ready
+	}, testTimeout, 2*reconnectInterval)
+}
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -66,6 +66,7 @@
 		case <-l.checkNow:
 			nextCheck = time.Time{}
 		case <-ticker.C:
+			l.tick()
 			if l.isUnreachable() {
 				l.reconnect(ctx)
 			}
@@ -79,6 +80,12 @@
 	}
 }
 
+func (l *upstreamProxy) tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tracker.Tick(l.f.cfg.Now())
+}
+
 // requestHealthCheck makes monitor check the health of the upstream at once, if that is needed.
 func (l *upstreamProxy) requestHealthCheck() {
 	select {
