faultproxy: a proxy can be closed while it connects

Seen: a run of the soak whose replicas cannot start, since their addresses are taken, did not end after its failure (stopped by hand after 60 s and more).

Cause: Close waits for the goroutines of the proxy, and an attempt to connect to a target that does not respond goes on for as long as the kernel repeats it.

Change: the attempts end with Close.

Before: TestCloseDuringDial fails ("the proxy did not close" within 20 s). After: it passes, three times under the race detector, and the run of the soak ends 16 s after its failure.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -3,6 +3,7 @@
 package faultproxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -15,6 +16,8 @@
 type Proxy struct {
 	listener net.Listener
 	target   string
+	ctx      context.Context // ends with Close
+	stop     context.CancelFunc
 
 	mu             sync.Mutex
 	changed        *sync.Cond
@@ -33,6 +36,7 @@
 		return nil, err
 	}
 	p := &Proxy{listener: l, target: target, connections: make(map[net.Conn]bool)}
+	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.changed = sync.NewCond(&p.mu)
 	p.goroutines.Go(p.accept)
 	return p, nil
@@ -82,6 +86,7 @@
 // Close stops the proxy, resets its connections and waits for its goroutines.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.stop()
 	p.mu.Lock()
 	p.closed = true
 	p.resetAll()
@@ -118,7 +123,7 @@
 	if !p.track(in) {
 		return
 	}
-	out, err := net.Dial("tcp", p.target)
+	out, err := new(net.Dialer).DialContext(p.ctx, "tcp", p.target)
 	if err != nil {
 		p.closeConnection(in)
 		return
