soak: a run fails if its first configuration is not confirmed

Cause: the operator of the soak sends a configuration until it is confirmed, also the first one, before which nothing else happens.

Change: the first configuration is to be confirmed within a minute. That is one check more; the others are unchanged.

Before, with the addresses of the replicas taken by another process: no end.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,7 +71,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	c.putConfig(ctx, 1)
+	c.publishFirstConfig(ctx)
 	c.awaitReady()
 	operatorCtx, stopOperators := context.WithCancel(ctx)
 	running.Go(func() { c.publishConfigs(operatorCtx, 2) })
@@ -99,6 +99,15 @@
 	require.Empty(t, c.checker.violations)
 }
 
+// publishFirstConfig publishes the first configuration. It fails if the replicas do not start, for example
+// because a run beside this one has the same addresses.
+func (c *cluster) publishFirstConfig(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	c.putConfig(ctx, 1)
+	require.Equal(c.t, uint64(1), c.checker.newestConfirmed(), "no replica confirmed the first configuration within a minute")
+}
+
 // awaitReady waits until all daemons are ready.
 func (c *cluster) awaitReady() {
 	for _, v := range c.daemons {
