--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -80,6 +80,7 @@
 	}
 }
 
+// tick tells the tracker that the daemon is running, so that it notices freezes.
 func (l *upstreamProxy) tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
