--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,12 +20,11 @@
 const caseLimit = 110 * time.Second
 
 var cases = map[string]func(*environment) (broken bool, err error){
-	"slow-upload":   slowUpload,
-	"left-requests": leftRequests,
-	"replaced-vms":  replacedVMs,
-	"term-queue":    termQueue,
-	"snapshot-kill": snapshotKill,
-	"removed-kill":  removedKill,
+	"term-queue":       termQueue,
+	"slow-upload":      slowUpload,
+	"replaced-vms":     replacedVMs,
+	"snapshot-kill":    snapshotKill,
+	"pipelined-expect": pipelinedExpect,
 }
 
 func main() {
