review: case 10, requests whose clients have left reach an upstream

A daemon does not notice that the sender of a request with a body has left while the request waits for admission.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]func(*environment) (broken bool, err error){
 	"term-queue":    termQueue,
+	"left-requests": leftRequests,
 	"replaced-vms":  replacedVMs,
 	"snapshot-kill": snapshotKill,
 	"snapshot-lost": snapshotLost,
