--- a/review/cases/left_requests.go
+++ b/review/cases/left_requests.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-const searchConfig = `{"version":%d,"routes":[` +
-	`{"name":"r-search","host":"rounds.example","path_prefix":"/search/","route_type":"idempotent","timeout":"10000ms","target_latency":"2500ms","priority":0,"service":"customers","max_attempts":2}],` +
+var searchConfig = `{"version":%d,"routes":[` +
+	wire(`{"name":"r-search","host":"rounds.example","<prefix>":"/search/","<kind>":"idempotent","timeout":"10000ms","target_latency":"2500ms","priority":0,"service":"customers","max_attempts":2}],`) +
 	`"services":[{"name":"customers","health_path":"/healthz","max_connections":166,"protocol":"h1","tls":false},{"name":"rounds","health_path":"/healthz","max_connections":316,"protocol":"h1","tls":false}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`
 
@@ -30,8 +30,8 @@
 	if err != nil {
 		return false, err
 	}
-	sender := e.newMachine("sidecar-quimper-1", "rounds", 0)
-	receiver := e.newMachine("sidecar-quimper-2", "customers", 0)
+	sender := e.newMachine("vm-quimper-1", "rounds", 0)
+	receiver := e.newMachine("vm-quimper-2", "customers", 0)
 	for _, m := range []*machine{sender, receiver} {
 		if _, err := e.startProcess(m, true); err != nil {
 			return false, err
@@ -64,7 +64,7 @@
 			}
 			defer func() { _ = nc.Close() }()
 			query := `{"customer":"` + id + `"}`
-			_, _ = fmt.Fprintf(nc, "POST /search/%s HTTP/1.1\r\nHost: rounds.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 10000\r\nContent-Length: %d\r\n\r\n%s", id, id, len(query), query)
+			_, _ = fmt.Fprintf(nc, wire("POST /search/%s HTTP/1.1\r\nHost: rounds.example\r\n<id>: %s\r\n<limit>: 10000\r\nContent-Length: %d\r\n\r\n%s"), id, id, len(query), query)
 			stay := 10 * time.Second
 			if e.trouble && i%leaveEvery == 0 {
 				stay = leaveTime
