--- a/review/cases/snapshot_lost.go
+++ b/review/cases/snapshot_lost.go
@@ -36,6 +36,9 @@
 			gone = i
 		}
 	}
+	if err := o.putUpTo(changesBefore); err != nil {
+		return false, err
+	}
 	processes[behind].kill()
 	e.record("%s is killed", control[behind].name)
 	if err := o.putMany(changesWhileDown); err != nil {
