forward: requests that wait elsewhere are answered before a planned stop

Cause: at the end of the grace period all connections of clients are aborted. The queue of the stopping daemon is drained before, but nobody asked the daemons at which its calls waited, and bodies that were still arriving were cut off as well.

Ruled out: requests taken too late (two of four were sent before the SIGTERM), and lost responses (they never reached the upstream; the last line in the decision log was "route").

Change: shortly before the end, waiting requests are withdrawn. A body that the peer has not asked for is not sent; otherwise the write side of the connection to the peer is closed, and the peer answers whether the call was executed. Idempotent calls, which a peer would interrupt, are withdrawn only when execution ends. Reading of bodies is interrupted.

--- a/core/chain/outcome.go
+++ b/core/chain/outcome.go
@@ -50,7 +50,7 @@
 	ReasonTooLate           Reason = "too-late"                  // arrived with less remaining time than the service time
 	ReasonCancelled         Reason = "cancelled"                 // the client cancelled or disconnected
 	ReasonDraining          Reason = "draining"                  // the upstream is draining
-	ReasonStopping          Reason = "stopping"                  // the daemon shuts down before the deadline of the call
+	ReasonStopping          Reason = "stopping"                  // a daemon shuts down before the call could be completed
 	ReasonUnhealthy         Reason = "unhealthy"                 // the upstream fails or hangs, and another one can take the call
 	ReasonNoUpstream        Reason = "no-upstream"               // there is no usable upstream
 	ReasonLinkBudget        Reason = "link-budget"               // the byte budget of the link between regions is spent
--- a/forward/call.go
+++ b/forward/call.go
@@ -35,9 +35,9 @@
 	method, target, host string
 	header               http.Header // end-to-end headers for the upstream
 	body                 []byte
-	stream               io.Reader // replaces body
-	length               int64     // of the stream, -1 if unknown
-	expectContinue       bool      // the sender sends the stream only after a 100 Continue
+	stream               io.Reader      // replaces body
+	length               int64          // of the stream, -1 if unknown
+	unread               *httpwire.Body // the stream of a call whose sender waits for a 100 Continue
 }
 
 // admissionPriority returns the priority of a call at admission controllers. Subsequent
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/core/admission"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
@@ -23,6 +22,7 @@
 	local      *upstreamProxy
 	peers      *peerPools
 	buffers    *bufferBudget // of the bodies of responses
+	withdrawal *withdrawal
 
 	ingress, peerServer           httpwire.Server
 	ingressListener, peerListener net.Listener
@@ -42,6 +42,7 @@
 		linkBudget: balance.NewLinkBudget(balance.LinkBudgetConfig{BytesPerSecond: linkBytesPerSecond}),
 		peers:      newPeerPools(cfg.ResolvePeer),
 		buffers:    newBufferBudget(cfg.BufferBytes),
+		withdrawal: newWithdrawal(),
 	}
 	f.local = newUpstreamProxy(f)
 	f.ingress = httpwire.Server{Handle: f.serveIngress, Limits: f.requestLimits, OnBadRequest: f.recordBadRequest}
@@ -99,64 +100,3 @@
 	f.metrics.badRequests.Inc()
 	f.cfg.Logger.Info().Str("remote", remote.String()).Int("status", err.Status).Err(err).Msg("request head rejected")
 }
-
-// Durations of a graceful shutdown.
-const (
-	// readinessPropagation is the time within which clients notice that the daemon is not
-	// ready: two health checks, one a second, and the transmission of the last request.
-	readinessPropagation = 2500 * time.Millisecond
-	// killMargin is left between closing the remaining connections and the end of the
-	// shutdown grace period.
-	killMargin = 300 * time.Millisecond
-	// defaultShutdownGracePeriod applies if none is configured.
-	defaultShutdownGracePeriod = 30 * time.Second
-)
-
-// shutdown stops the daemon without interrupting requests. Until clients have noticed that
-// the daemon is not ready, the local upstream is used as before, except for calls that may
-// outlive the shutdown grace period: the upstream keeps running, and its capacity may be
-// needed. After that, new calls go to other upstreams and requests in flight complete.
-func (f *Forwarder) shutdown() {
-	startedAt := time.Now()
-	grace := f.cfg.ShutdownGracePeriod
-	if grace <= 0 {
-		grace = defaultShutdownGracePeriod
-	}
-	f.draining.Store(true)
-	f.ingress.Drain()
-	f.local.setShutdownDeadline(f.cfg.Now().Add(grace - killMargin))
-	f.cfg.Logger.Info().Int("in_flight", f.ingress.InFlight()+f.peerServer.InFlight()).Dur("grace", grace).Msg("planned stop begins")
-	time.Sleep(time.Until(startedAt.Add(min(readinessPropagation, grace/2))))
-	f.stopAccepting()
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace-killMargin))
-	defer cancel()
-	f.awaitIdle(ctx)
-	_ = f.ingressListener.Close() // the process ends, so errors are ignored
-	_ = f.peerListener.Close()    // as above
-	var servers sync.WaitGroup
-	servers.Go(func() { f.ingress.Shutdown(ctx) })
-	servers.Go(func() { f.peerServer.Shutdown(ctx) })
-	servers.Wait()
-	f.cfg.Logger.Info().Dur("took", time.Since(startedAt)).Msg("planned stop ends")
-}
-
-// stopAccepting rejects new calls for the local upstream, and requests at the ingress
-// listener that may outlive the daemon. It is called once clients have had time to notice
-// the shutdown.
-func (f *Forwarder) stopAccepting() {
-	f.peerServer.Drain()
-	f.local.drain()
-}
-
-// awaitIdle waits until no request is in flight or ctx ends.
-func (f *Forwarder) awaitIdle(ctx context.Context) {
-	ticker := time.NewTicker(20 * time.Millisecond)
-	defer ticker.Stop()
-	for f.ingress.InFlight()+f.peerServer.InFlight() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/forward/ingress.go
+++ b/forward/ingress.go
@@ -62,10 +62,6 @@
 	r.respondResult(res)
 }
 
-// shutdownRetryAfter is the Retry-After of a rejection by a daemon that is shutting down.
-// Another daemon can take the request at once, so only the new connection takes time.
-const shutdownRetryAfter = 50 * time.Millisecond
-
 // rejectIfOutlivesShutdown rejects a request that arrives late in a graceful shutdown and
 // may outlive the daemon. The result is nil if the request is admitted.
 func (r *request) rejectIfOutlivesShutdown() *result {
@@ -73,9 +69,7 @@
 	if !l.stopping.Load() || !l.outlivesShutdown(&r.call) {
 		return nil
 	}
-	res := rejected(chain.ReasonStopping, "the daemon stops before the deadline of the request")
-	res.retryAfter = shutdownRetryAfter
-	return res
+	return rejectedByShutdown()
 }
 
 // throttleRequest rejects a request early if too many requests of its route fail in
@@ -182,7 +176,7 @@
 		r.call.stream, r.call.length = b, b.Length
 		return nil
 	}
-	return r.call.readBody(b, b.Length)
+	return r.f.readBody(&r.call, b)
 }
 
 // readBody buffers a body up to maxBufferedBody; the rest of a larger one is streamed.
@@ -200,8 +194,11 @@
 }
 
 func bodyFailure(err error) *chain.Failure {
-	if errors.Is(err, httpwire.ErrBodyTooLarge) {
+	switch {
+	case errors.Is(err, httpwire.ErrBodyTooLarge):
 		return chain.WrapFailure(chain.NotRun, chain.ReasonTooLarge, "the request body exceeds the limit", err)
+	case errors.Is(err, httpwire.ErrBodyInterrupted):
+		return chain.WrapFailure(chain.NotRun, chain.ReasonStopping, "the daemon stops before the request body has arrived", err)
 	}
 	return chain.WrapFailure(chain.NotRun, chain.ReasonSlowBody, "the request body could not be read", err)
 }
@@ -308,7 +305,7 @@
 	if ctx.Err() != nil || r.deadline.Sub(now) < minRemainingToSend || r.attempts >= maxUpstreamsTried || r.call.stream != nil {
 		return false
 	}
-	if !retryPermitted(r.call.kind, res) {
+	if !retryPermitted(r.call.kind, res) || r.f.isWithdrawn(&r.call) {
 		return false
 	}
 	if r.delivered >= r.maxAttempts() {
@@ -423,8 +420,11 @@
 	if res.failure.Outcome != chain.NotRun || httpStatus(res.failure) != http.StatusServiceUnavailable {
 		return 0, false
 	}
-	if res.retryAfter > 0 {
+	switch {
+	case res.retryAfter > 0:
 		return res.retryAfter, true
+	case res.failure.Reason == chain.ReasonStopping:
+		return shutdownRetryAfter, true
 	}
 	return defaultRetryAfter, true
 }
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -313,10 +313,10 @@
 // callUpstream sends the call to the upstream and reads the response.
 func (l *upstreamProxy) callUpstream(ctx context.Context, c *call) *result {
 	now := l.f.cfg.Now()
-	if c.expectContinue {
+	if c.unread != nil {
 		// The first read of the body sends the 100 Continue. Before the sender receives it, a
 		// failure proves to it that the upstream has not received the request.
-		if f := c.readBody(c.stream, c.length); f != nil {
+		if f := l.f.readBody(c, c.unread); f != nil {
 			return &result{failure: f}
 		}
 		now = l.f.cfg.Now()
--- a/forward/peer_client.go
+++ b/forward/peer_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -57,13 +58,15 @@
 		conn.Close()
 		return peerExchangeFailure(ctx, mayHaveExecuted, err)
 	}
-	return readPeerResponse(ctx, pool, conn, from, f.buffers)
+	return asWithdrawn(req.Withdraw, readPeerResponse(ctx, pool, conn, from, f.buffers))
 }
 
 // peerRequest returns the call as it is sent to a peer.
 func (f *Forwarder) peerRequest(c *call) *httpwire.ClientRequest {
 	req := c.clientRequest(httpwire.HeaderField{Name: headerCall, Value: formatCall(c, c.remaining(f.cfg.Now()))})
 	req.AwaitContinue = c.bodyLength() < 0 || c.bodyLength() >= continueThreshold || c.bodyLength() > 0 && !c.kind.IsIdempotent()
+	// The peer completes the execution of a non-idempotent call, but ends that of an idempotent one.
+	req.Withdraw = f.withdrawalOf(c, c.kind.IsIdempotent() && !req.AwaitContinue)
 	return req
 }
 
@@ -73,6 +76,9 @@
 		outcome = chain.NotRun
 	}
 	r := &result{delivered: mayHaveExecuted}
+	if errors.Is(err, httpwire.ErrWithdrawn) {
+		return rejectedByShutdown()
+	}
 	if ctx.Err() != nil {
 		r.failure = chain.FailureFromContext(ctx, outcome, "cancelled or expired before the upstream's daemon responded")
 		return r
--- a/forward/peer_server.go
+++ b/forward/peer_server.go
@@ -27,7 +27,7 @@
 	}
 	removeInternalHeaders(c.header)
 	if x.Body != nil {
-		c.stream, c.length, c.expectContinue = x.Body, x.Body.Length, true
+		c.stream, c.length, c.unread = x.Body, x.Body.Length, x.Body
 	}
 	r := f.local.admitAndExecute(x.Context(), c)
 	f.respondToPeer(x, r)
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -35,6 +35,10 @@
 	ID string
 	// MatchResponse reports whether a response belongs to this request; nil accepts every response.
 	MatchResponse func(http.Header) bool
+	// Withdraw, if it is set, withdraws the request when it ends. Unlike the end of the context of Do, it
+	// does not end the exchange of a request that the server may be executing: the server responds
+	// whether it was executed. The server must treat the end of its input as the end of the client.
+	Withdraw context.Context
 }
 
 // HeaderField is one header with a single value.
@@ -108,7 +112,9 @@
 	unusable      atomic.Bool
 	maxIdleTime   time.Duration
 	idleSince     time.Time // when it was last returned to the pool
-	bodyResult    chan error
+
+	withdrawal withdrawal
+	bodyResult chan error // result of sending the body, nil before that begins; written under withdrawal.mu
 }
 
 // NewClientConn returns a ClientConn that owns the given connection.
@@ -167,7 +173,10 @@
 	resp, err := c.roundTrip(req)
 	if err != nil {
 		stop()
-		if ctx.Err() != nil {
+		switch {
+		case c.isWithdrawn():
+			return nil, ErrWithdrawn
+		case ctx.Err() != nil:
 			return nil, context.Cause(ctx)
 		}
 		return nil, err
@@ -177,6 +186,12 @@
 }
 
 func (c *ClientConn) roundTrip(req *ClientRequest) (*ClientResponse, error) {
+	if req.Withdraw != nil && req.Withdraw.Err() != nil {
+		return nil, ErrWithdrawn
+	}
+	c.bodyResult = nil
+	stopWithdrawal := c.withdrawOn(req.Withdraw, req)
+	defer stopWithdrawal()
 	if err := c.send(req); err != nil {
 		return c.readEarlyResponse(req, err)
 	}
@@ -203,10 +218,13 @@
 	defer putBuffer(buf)
 	length := req.length()
 	appendRequestHead(buf, req, length)
-	c.bodyResult = nil
 	if req.Stream == nil && length <= maxInlineBody && !req.AwaitContinue {
 		buf.Write(req.Body)
-		return c.write(buf.Bytes())
+		if err := c.write(buf.Bytes()); err != nil {
+			return err
+		}
+		c.requestSent()
+		return nil
 	}
 	if err := c.write(buf.Bytes()); err != nil {
 		return err
@@ -214,10 +232,10 @@
 	if req.AwaitContinue {
 		return nil // readResponse sends the body after 100 Continue
 	}
-	c.sendBody(req)
-	return nil
+	return c.startBody(req)
 }
 
+// sendBody sends the body in another goroutine. The caller holds withdrawal.mu.
 func (c *ClientConn) sendBody(req *ClientRequest) {
 	result := make(chan error, 1)
 	c.bodyResult = result
@@ -296,7 +314,9 @@
 			return nil, responseError(err)
 		case resp.StatusCode == http.StatusContinue:
 			if req.AwaitContinue && c.bodyResult == nil {
-				c.sendBody(req)
+				if err := c.startBody(req); err != nil {
+					return nil, err
+				}
 			}
 		case resp.StatusCode < 200:
 		case req.MatchResponse != nil && !req.MatchResponse(resp.Header):
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -173,6 +174,8 @@
 	continueSent bool  // 100 Continue was sent
 	ended        chan struct{}
 	done         bool
+
+	interrupted atomic.Bool
 }
 
 // ErrBodyTooLarge is returned for a body that exceeds the limit.
@@ -199,11 +202,18 @@
 	b.sendContinue()
 	nc := b.exchange.conn.nc
 	_ = nc.SetReadDeadline(time.Now().Add(bodyStallTimeout)) // fails only on a closed connection, which the read reports
+	if b.interrupted.Load() {
+		b.finish(ErrBodyInterrupted)
+		return 0, b.err
+	}
 	n, err := b.exchange.Request.Body.Read(p)
 	_ = nc.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
 	b.received += int64(n)
-	if b.received > b.limit {
+	switch {
+	case b.received > b.limit:
 		err = ErrBodyTooLarge
+	case err != nil && err != io.EOF && b.interrupted.Load():
+		err = ErrBodyInterrupted
 	}
 	if err != nil {
 		b.finish(err)
@@ -211,6 +221,16 @@
 	return n, err
 }
 
+// ErrBodyInterrupted is returned for a body whose reading was interrupted.
+var ErrBodyInterrupted = errors.New("the reading of the request body was interrupted")
+
+// Interrupt ends a read in progress and all later ones. It has no effect on a body that has been read
+// to its end.
+func (b *Body) Interrupt() {
+	b.interrupted.Store(true)                            // before the deadline, which a read that begins now would replace
+	_ = b.exchange.conn.nc.SetReadDeadline(pastDeadline) // fails only on a closed connection, which the read reports
+}
+
 // sendContinue sends 100 Continue to a client that waits for it.
 func (b *Body) sendContinue() {
 	if b.continueSent || !b.expectsContinue {
