httpwire, daemon: a response that is reset on the way is not complete

The client got the part as a complete response.

Cause: the kernel reports a reset once, to whichever call comes first. If that is the write of the upload, the next read reports the end of the input, as if the upstream had closed the connection, and the end of the connection is the end of a body without a length.

Ruled out: the limits of heads and bodies, and the buffering of the response: the parser itself saw an orderly end. A read that gets the reset itself failed before as well.

Change: all reads and writes of a connection to an upstream pass an EndGuard. At the end of the input it ends a write in progress, which is the only way to learn whether that write will fail, and reports a reset if any write has failed. A server that closes its side in an orderly way while the request is being written still gives a complete response. The daemon of the product's own interface had the same fault and uses the same guard.

--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrydeck/bilberrydeck/httpwire"
 )
 
 // errConnAbandoned is returned by writes to a connection whose attempt has ended.
@@ -33,6 +35,7 @@
 // reads the count.
 type countingConn struct {
 	net.Conn
+	guard     httpwire.EndGuard
 	mu        sync.Mutex // held during each write
 	written   int64
 	abandoned bool
@@ -45,11 +48,15 @@
 	if c.abandoned {
 		return 0, errConnAbandoned
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.guard.Write(c.Conn, p)
 	c.written += int64(n)
 	return n, err
 }
 
+// Read implements net.Conn. The end of the input after a reset is an error, so that a response without a
+// length does not seem complete.
+func (c *countingConn) Read(p []byte) (int, error) { return c.guard.Read(c.Conn, p) }
+
 // ReadFrom copies a body with a pooled buffer. Without it net/http allocates a buffer for each
 // upload.
 func (c *countingConn) ReadFrom(r io.Reader) (int64, error) {
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -102,6 +102,7 @@
 // ClientConn is a connection to a server. It carries one exchange at a time.
 type ClientConn struct {
 	nc            net.Conn
+	guard         EndGuard
 	limitedSource *limitedReader
 	reader        *bufio.Reader
 	written       atomic.Int64
@@ -119,8 +120,10 @@
 
 // NewClientConn returns a ClientConn that owns the given connection.
 func NewClientConn(nc net.Conn) *ClientConn {
-	source := &limitedReader{src: nc, remaining: noLimit}
-	return &ClientConn{nc: nc, limitedSource: source, reader: bufio.NewReaderSize(source, readBufferBytes), maxIdleTime: defaultMaxIdleTime}
+	c := &ClientConn{nc: nc, maxIdleTime: defaultMaxIdleTime}
+	c.limitedSource = &limitedReader{src: guardedInput{nc, &c.guard}, remaining: noLimit}
+	c.reader = bufio.NewReaderSize(c.limitedSource, readBufferBytes)
+	return c
 }
 
 var idSeed = maphash.MakeSeed()
@@ -264,7 +267,7 @@
 // them were sent.
 func (c *ClientConn) write(p []byte) error {
 	c.written.Add(int64(len(p)))
-	_, err := c.nc.Write(p)
+	_, err := c.guard.Write(c.nc, p)
 	return err
 }
 
@@ -354,7 +357,7 @@
 	switch {
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return ErrNoResponse
-	case errors.As(err, &network):
+	case errors.As(err, &network), errors.Is(err, ErrReset):
 		return err
 	}
 	return &ParseError{Status: http.StatusBadGateway, Reason: "the response cannot be parsed", Cause: err}
