httpwire, daemon: a malformed response head is no response

The client got it, with that line passed on, or with a body that was not the upstream's: after "Content-Length : 3" all bytes up to the end of the connection were the body. Of a status of 000 the other systems' clients got a response; here it was taken for an interim one, so what followed was read as the response, the body of the 000 among it.

Cause: the parser of net/http takes a name with a blank for another name, joins a line that begins with a blank to the one before, and accepts 000 to 999, "+20" and any version. All that has a value below 200 was skipped as an interim response.

Ruled out: control bytes in names and values, and names without a colon: the parser rejects them (kept as test cases).

Change: a HeadScanner checks the bytes of each head, those of interim and of discarded responses included, before the parser's result is used: version 1.0 or 1.1, a status from 100 to 599 that is not 101, names of token characters, no chunks in version 1.0. Trailer names are checked as well. The exchange fails with a typed error, the connection is closed, and the outcome is unknown. It also counts the lines, as lineCounter did (its test is unchanged but for the names). The daemon of the product's own interface uses the same scanner.

--- a/daemon/faulty_upstream_test.go
+++ b/daemon/faulty_upstream_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -48,3 +49,35 @@
 		}
 	}
 }
+
+// TestMalformedHeadIsNoResponse guards against an upstream in trouble whose response head cannot be trusted:
+// it must not reach the client, neither with the malformed line nor with a body of another length.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"blank before the colon":     "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+		"blank in a name":            "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 3\r\n",
+		"blank before a name":        "HTTP/1.1 200 OK\r\nX: 1\r\n Content-Length: 3\r\n",
+		"control byte in a name":     "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nContent-Length: 3\r\n",
+		"blank in an interim head":   "HTTP/1.1 102 Processing\r\nX : 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+		"status 000":                 "HTTP/1.1 000 OK\r\nContent-Length: 3\r\n",
+		"status 099":                 "HTTP/1.1 099 OK\r\nContent-Length: 3\r\n",
+		"status 600":                 "HTTP/1.1 600 OK\r\nContent-Length: 3\r\n",
+		"status with a sign":         "HTTP/1.1 +20 OK\r\nContent-Length: 3\r\n",
+		"switching protocols":        "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 3\r\n",
+		"another version":            "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n",
+		"chunks in an older version": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			edge, _ := startPair(t, rawResponder(func(_ *http.Request, c *net.TCPConn) {
+				_, _ = fmt.Fprintf(c, "%s\r\nabcdef", head) // as above
+			}), []declaration.Route{routeY})
+			waitServing(t, edge)
+			resp, err := edge.tryRequest("POST", "/b/y", strings.NewReader("x"))
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "%q", body)
+		})
+	}
+}
--- a/daemon/outgoing_request.go
+++ b/daemon/outgoing_request.go
@@ -38,6 +38,7 @@
 	u.reused = info.Reused
 	if u.conn != nil {
 		u.writtenBefore = u.conn.Written()
+		u.conn.head.begin()
 	}
 }
 
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -36,6 +36,7 @@
 type countingConn struct {
 	net.Conn
 	guard     httpwire.EndGuard
+	head      headCheck
 	mu        sync.Mutex // held during each write
 	written   int64
 	abandoned bool
@@ -53,9 +54,39 @@
 	return n, err
 }
 
-// Read implements net.Conn. The end of the input after a reset is an error, so that a response without a
-// length does not seem complete.
-func (c *countingConn) Read(p []byte) (int, error) { return c.guard.Read(c.Conn, p) }
+// Read implements net.Conn. It fails if the head of the response is malformed. The end of the input after a
+// reset is an error as well, so that a response without a length does not seem complete.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.guard.Read(c.Conn, p)
+	if headErr := c.head.scan(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
+// headCheck checks the head of the response of each attempt on a connection.
+type headCheck struct {
+	mu      sync.Mutex
+	scanner *httpwire.HeadScanner // nil before the first attempt
+}
+
+// begin begins the next response.
+func (c *headCheck) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner = &httpwire.HeadScanner{}
+}
+
+// scan checks bytes that have been read, and returns the error of the head.
+func (c *headCheck) scan(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.scanner == nil {
+		return nil
+	}
+	c.scanner.Scan(p)
+	return c.scanner.Err()
+}
 
 // ReadFrom copies a body with a pooled buffer. Without it net/http allocates a buffer for each
 // upload.
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -308,11 +308,13 @@
 	c.parserRequest.Method = req.Method
 	for mismatched := 0; mismatched <= maxMismatched; {
 		buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail on buffered bytes
-		c.limitedSource.limitLines(maxResponseHeadLines, buffered)
+		c.limitedSource.scanHead(maxResponseHeadLines, buffered)
 		resp, err := http.ReadResponse(c.reader, &c.parserRequest)
-		switch {
-		case c.limitedSource.exceeded, c.limitedSource.lines.exceeded():
+		switch head := &c.limitedSource.head; {
+		case c.limitedSource.exceeded, head.exceedsLines():
 			return nil, ErrResponseHeadTooLarge
+		case head.Err() != nil:
+			return nil, head.Err()
 		case err != nil:
 			return nil, responseError(err)
 		case resp.StatusCode == http.StatusContinue:
@@ -383,6 +385,9 @@
 	if b.received > maxResponseBody {
 		err = ErrResponseTooLarge
 	}
+	if err == io.EOF && !validNames(b.response.resp.Trailer) {
+		err = errMalformedTrailer
+	}
 	if err == nil {
 		return n, nil
 	}
--- a/httpwire/limited_reader.go
+++ b/httpwire/limited_reader.go
@@ -1,42 +1,40 @@
 package httpwire
 
-import (
-	"bytes"
-	"io"
-)
+import "io"
 
-// limitedReader limits the number of bytes that are read for one head, and the number of its lines:
-// each header takes much more memory than its bytes.
+// limitedReader limits the number of bytes that are read for one head. It checks the head of a response,
+// and limits the number of its lines: each header takes much more memory than its bytes.
 type limitedReader struct {
 	src       io.Reader
 	total     int64 // bytes read so far
 	remaining int   // noLimit for no limit
 	exceeded  bool  // a read was attempted at a limit
-	lines     lineCounter
+	head      HeadScanner
+	scanning  bool // the input is the head of a response
 }
 
 // noLimit is the value of limitedReader.remaining without a limit.
 const noLimit = -1
 
 // setLimit limits the number of bytes. buffered of them have been read before: whether the rest of
-// the input is within the limit must not depend on the parts in which it arrives. It removes the limit
-// of lines.
+// the input is within the limit must not depend on the parts in which it arrives. It ends the check of a
+// head.
 func (l *limitedReader) setLimit(n, buffered int) {
-	l.remaining, l.exceeded, l.lines = max(n-buffered, 0), false, lineCounter{}
+	l.remaining, l.exceeded, l.scanning = max(n-buffered, 0), false, false
 }
 
-// limitLines limits the number of lines of the next head. buffered is the part of it that has been read
-// before.
-func (l *limitedReader) limitLines(n int, buffered []byte) {
-	l.lines = lineCounter{limit: n}
-	l.lines.count(buffered)
+// scanHead checks the next head of a response, which has at most maxLines lines. buffered is the part of it
+// that has been read before.
+func (l *limitedReader) scanHead(maxLines int, buffered []byte) {
+	l.head, l.scanning = HeadScanner{maxLines: maxLines}, true
+	l.head.Scan(buffered)
 }
 
-func (l *limitedReader) clearLimit() { l.remaining, l.lines = noLimit, lineCounter{} }
+func (l *limitedReader) clearLimit() { l.remaining, l.scanning = noLimit, false }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 || l.lines.exceeded() {
+	if l.remaining == 0 || l.scanning && l.head.exceedsLines() {
 		l.exceeded = true
 		return 0, io.EOF
 	}
@@ -48,32 +46,8 @@
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
-	l.lines.count(p[:n])
-	return n, err
-}
-
-// lineCounter counts the lines of a head up to the empty line at its end. Without a limit it counts
-// nothing.
-type lineCounter struct {
-	limit   int
-	lines   int
-	partial int  // bytes of the last line so far, without a carriage return
-	ended   bool // the empty line was read
-}
-
-func (c *lineCounter) exceeded() bool { return c.limit > 0 && c.lines >= c.limit && !c.ended }
-
-func (c *lineCounter) count(p []byte) {
-	for c.limit > 0 && !c.ended && !c.exceeded() && len(p) > 0 {
-		end := bytes.IndexByte(p, '\n')
-		if end < 0 {
-			c.partial += len(bytes.TrimSuffix(p, []byte{'\r'}))
-			return
-		}
-		c.partial += len(bytes.TrimSuffix(p[:end], []byte{'\r'}))
-		c.ended = c.partial == 0 && c.lines > 0 // empty lines before the first one do not end a head
-		c.lines++
-		c.partial = 0
-		p = p[end+1:]
+	if l.scanning {
+		l.head.Scan(p[:n])
 	}
+	return n, err
 }
--- a/httpwire/limited_reader_test.go
+++ b/httpwire/limited_reader_test.go
@@ -54,20 +54,20 @@
 	}
 }
 
-// TestLineCounter checks the count whatever the parts in which a head arrives.
-func TestLineCounter(t *testing.T) {
+// TestLineCount checks the count whatever the parts in which a head arrives.
+func TestLineCount(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
 	for size := 1; size <= len(head)+4; size++ {
-		c := lineCounter{limit: 3}
+		s := HeadScanner{maxLines: 3}
 		for rest := head + "\n\n\n\n"; rest != ""; {
 			n := min(size, len(rest))
-			c.count([]byte(rest[:n]))
+			s.Scan([]byte(rest[:n]))
 			rest = rest[n:]
 		}
-		require.False(t, c.exceeded(), size)
-		require.Equal(t, 3, c.lines, size)
-		over := lineCounter{limit: 2}
-		over.count([]byte(head))
-		require.True(t, over.exceeded(), size)
+		require.False(t, s.exceedsLines(), size)
+		require.Equal(t, 3, s.lines, size)
+		over := HeadScanner{maxLines: 2}
+		over.Scan([]byte(head))
+		require.True(t, over.exceedsLines(), size)
 	}
 }
