httpwire: a request with a malformed header name is rejected

What could happen: a request with "Content-Length : 55" or "Transfer-Encoding : chunked" was forwarded without its body, and the body was read as the next request of the connection.

Cause: as for responses, the parser takes a name with a blank for another header. The server of net/http checks the names after that; httpwire reads requests with the parser alone.

Ruled out: control bytes and missing colons, which the parser rejects.

Change: such a request gets 400, and the connection is closed.

Evidence: TestMalformedHeaderNameIsRejected failed before (200 for the first request) and passes now.

--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -340,3 +340,20 @@
 		time.Sleep(lingerTime / 50)
 	}
 }
+
+// TestMalformedHeaderNameIsRejected guards against a request whose header the parser takes for another one:
+// without its length, the body would be read as the next request.
+func TestMalformedHeaderNameIsRejected(t *testing.T) {
+	for _, header := range []string{"Content-Length : 55", "Transfer-Encoding : chunked", "X Y: 1"} {
+		received := make(chan string, 2)
+		_, address := serve(t, func(x *ServerExchange) {
+			received <- x.Request.RequestURI
+			_ = x.Respond(&ServerResponse{Status: http.StatusOK}) // checked at the client
+		})
+		c := dialRaw(t, address)
+		c.send("POST /first HTTP/1.1\r\nHost: a\r\n%s\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", header)
+		resp, _ := c.readResponse()
+		require.Equal(t, http.StatusBadRequest, resp.StatusCode, header)
+		require.Empty(t, received, header)
+	}
+}
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -160,6 +160,9 @@
 	if err != nil {
 		return nil, headError(err)
 	}
+	if !validNames(req.Header) {
+		return nil, &ParseError{Status: http.StatusBadRequest, Reason: "a header name of the request has a character that no name has"}
+	}
 	if req.Host == "" && req.ProtoAtLeast(1, 1) {
 		return nil, &ParseError{Status: http.StatusBadRequest, Reason: "the request has no Host header"}
 	}
