httpwire, daemon: a body that breaks off does not look complete in HTTP/1.0

What could happen: a response in chunks that broke off at the upstream was passed on to a client of HTTP/1.0, which has no chunks: the body ends with the connection. The daemon closed the connection in an orderly way, and the part looked complete.

Cause: only the missing last chunk tells a client of HTTP/1.1 that a body is incomplete.

Ruled out: responses with a length, where the client counts.

Change: the connection is reset if such a body breaks off, at the daemons of fleets and at those of the product's own interface.

Evidence: httpwire and daemon TestTruncatedBodyWithoutLength failed before (no error at the client) and pass now.

--- a/daemon/faulty_upstream_test.go
+++ b/daemon/faulty_upstream_test.go
@@ -81,3 +81,19 @@
 		})
 	}
 }
+
+// TestTruncatedBodyWithoutLength guards against a body that breaks off and looks complete to a client of
+// HTTP/1.0, for which the end of the connection is the end of the body.
+func TestTruncatedBodyWithoutLength(t *testing.T) {
+	edge, _ := startPair(t, rawResponder(func(_ *http.Request, c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nhalf of\r\n") // as above
+	}), []declaration.Route{routeY})
+	waitServing(t, edge)
+	c, err := net.Dial("tcp", edge.d.ListenAddresses().Ingress)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /b/y HTTP/1.0\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	received, err := io.ReadAll(c)
+	require.Error(t, err, "%q", received)
+}
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -58,10 +58,25 @@
 	d.recordResponse(c, failure, now)
 	d.recordOverloadRejection(c, r, failure, now)
 	if truncated {
-		panic(http.ErrAbortHandler) // aborts the connection, so that the client detects the incomplete response
+		abortResponse(w, r)
 	}
 }
 
+// abortResponse aborts the connection, so that the client detects an incomplete response. For a client of
+// HTTP/1.0 the end of the connection may be that of the body, so the connection is reset.
+func abortResponse(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only on a closed connection
+			}
+			_ = conn.Close() // as above
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recordOverloadRejection passes rejections of clients due to overload to the rejection limiter,
 // which rejects clients that ignore Retry-After.
 func (d *Daemon) recordOverloadRejection(c *call, r *http.Request, f *chain.Failure, now time.Time) {
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -146,7 +147,12 @@
 	if x.Request.Method == http.MethodHead {
 		return nil
 	}
-	return copyBody(stallTimeoutWriter{nc}, r.Stream, length, x.Request.ProtoAtLeast(1, 1))
+	chunked := x.Request.ProtoAtLeast(1, 1)
+	err := copyBody(stallTimeoutWriter{nc}, r.Stream, length, chunked)
+	if tcp, ok := nc.(*net.TCPConn); ok && err != nil && length < 0 && !chunked {
+		_ = tcp.SetLinger(0) // a reset, since the client would take an orderly end for that of the body
+	}
+	return err
 }
 
 func (r *ServerResponse) length() int64 {
--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -357,3 +358,21 @@
 		require.Empty(t, received, header)
 	}
 }
+
+// TestTruncatedBodyWithoutLength guards against a body that breaks off and looks complete to a client of
+// HTTP/1.0, for which the end of the connection is the end of the body.
+func TestTruncatedBodyWithoutLength(t *testing.T) {
+	for name, failure := range map[string]error{"truncated": io.ErrUnexpectedEOF, "complete": io.EOF} {
+		_, address := serve(t, func(x *ServerExchange) {
+			body := io.MultiReader(strings.NewReader("half of"), iotest.ErrReader(failure))
+			_ = x.Respond(&ServerResponse{Status: http.StatusOK, Stream: body, Length: -1}) // checked at the client
+		})
+		c := dialRaw(t, address)
+		c.send("GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(c.r, nil)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+		}
+		require.Equal(t, failure == io.EOF, err == nil, "%s: %v", name, err)
+	}
+}
