--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -30,7 +30,8 @@
 	addresses []string          // listen addresses; the first three are the seeds
 	zones     map[string]string // availability zone by address, for replicas that share one
 	running   map[string]*process
-	log       lockedBuffer // of all replicas, printed if the test fails
+	adjust    func(address string, cfg *Config) // changes the configuration of a replica; nil keeps it
+	log       lockedBuffer                      // of all replicas, printed if the test fails
 }
 
 // lockedBuffer is a buffer that several replicas write to.
@@ -66,24 +67,32 @@
 }
 
 func (c *discoveryCluster) start(address string, firstStart bool) *process {
+	s, err := New(c.config(address, firstStart))
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{s, cancel, make(chan error, 1)}
+	go func() { p.ended <- s.Run(ctx) }()
+	c.running[address] = p
+	return p
+}
+
+func (c *discoveryCluster) config(address string, firstStart bool) Config {
 	listener, err := net.Listen("tcp", address)
 	require.NoError(c.t, err)
 	logger := logging.New(&c.log)
 	logger.Context = log.NewContext(nil).Str("at", address).Value()
-	s, err := New(Config{
+	cfg := Config{
 		Listener: listener, DataDirectory: filepath.Join(c.dir, address), Logger: logger,
 		TickInterval:    20 * time.Millisecond,
 		NewStateMachine: func(uint32) StateMachine { return statemachine.NewFleet() },
 		Discovery: &DiscoveryConfig{
 			Seeds: c.addresses[:3], FirstStart: firstStart, ToleratedFailures: 1, AvailabilityZone: cmp.Or(c.zones[address], "zone-of-"+address),
 		},
-	})
-	require.NoError(c.t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{s, cancel, make(chan error, 1)}
-	go func() { p.ended <- s.Run(ctx) }()
-	c.running[address] = p
-	return p
+	}
+	if c.adjust != nil {
+		c.adjust(address, &cfg)
+	}
+	return cfg
 }
 
 func (c *discoveryCluster) startAll() {
--- a/core/raft/heartbeat.go
+++ b/core/raft/heartbeat.go
@@ -182,9 +182,10 @@
 		}
 		p.forceAppend = true
 	case stateSnapshot:
-		p.snapshotReplies++
-		// The snapshot was probably lost; a probe shows whether it was.
-		if p.snapshotReplies > r.cfg.SnapshotRetryReplies {
+		// The replica has received a later heartbeat and has not acknowledged the snapshot before:
+		// either was lost, or the replica has restarted. Messages may overtake each other when a
+		// connection is replaced; the snapshot is then sent once more in vain.
+		if m.Sequence > p.snapshotSequence {
 			p.becomeProbe(p.match + 1)
 		}
 	}
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -28,7 +28,8 @@
 	sentCommit  uint64   // commit index last sent
 
 	pendingSnapshot uint64 // index of the snapshot that was sent
-	snapshotReplies int    // heartbeat replies since the snapshot was sent
+	// snapshotSequence is the sequence of the last heartbeat before the snapshot was sent.
+	snapshotSequence uint64
 
 	recentActive         bool      // a message arrived since the last quorum check
 	lastContact          time.Time // last message from the replica, or the election of the leader
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -48,13 +48,12 @@
 // Config holds the settings of one replica and the durable state from which it
 // starts.
 type Config struct {
-	Self                 *api.ReplicaRef
-	HeartbeatTicks       int    // ticks between heartbeat rounds; 0 means 2
-	ElectionTicks        int    // minimum election timeout in ticks, the maximum is twice that; 0 means 10
-	MaxAppendBytes       int    // limit of entry data in one append; 0 means 1 MiB
-	MaxInflight          int    // unacknowledged appends per follower; 0 means 64
-	TrailingEntries      uint64 // entries before a snapshot that stay in the log, for slow followers
-	SnapshotRetryReplies int    // heartbeat replies after which an unacknowledged snapshot is retried; 0 means 300
+	Self            *api.ReplicaRef
+	HeartbeatTicks  int    // ticks between heartbeat rounds; 0 means 2
+	ElectionTicks   int    // minimum election timeout in ticks, the maximum is twice that; 0 means 10
+	MaxAppendBytes  int    // limit of entry data in one append; 0 means 1 MiB
+	MaxInflight     int    // unacknowledged appends per follower; 0 means 64
+	TrailingEntries uint64 // entries before a snapshot that stay in the log, for slow followers
 	// Seed seeds the random generator. It must differ at each start of a
 	// replica: the generator also yields the tokens of heartbeat replies, which
 	// must not repeat those of an earlier incarnation.
@@ -78,9 +77,6 @@
 	if c.MaxInflight == 0 {
 		c.MaxInflight = 64
 	}
-	if c.SnapshotRetryReplies == 0 {
-		c.SnapshotRetryReplies = 300 // 30 s at one round per 100 ms: time to send a large snapshot over a slow link
-	}
 }
 
 // Raft is one replica of one group. It is not safe for concurrent use.
--- a/core/raft/simulation_test.go
+++ b/core/raft/simulation_test.go
@@ -110,7 +110,7 @@
 	}
 	n.raft = New(Config{
 		Self: n.ref, Seed: sim.random.Uint64(), HardState: n.hardState, Snapshot: n.snapshot, Entries: slices.Clone(n.entries),
-		MaxAppendBytes: sim.maxAppendBytes, MaxInflight: 4, TrailingEntries: 3, SnapshotRetryReplies: 3,
+		MaxAppendBytes: sim.maxAppendBytes, MaxInflight: 4, TrailingEntries: 3,
 	})
 }
 
--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -43,7 +43,7 @@
 	s := r.log.snapshot
 	p.state = stateSnapshot
 	p.pendingSnapshot = s.Meta.Index
-	p.snapshotReplies = 0
+	p.snapshotSequence = r.heartbeatRounds.sequence
 	p.inflight = nil
 	r.send(p.ref, &api.ReplicaMessage{
 		Kind: api.ReplicaMessage_KIND_SNAPSHOT, Term: r.term, SnapshotMeta: s.Meta, SnapshotData: s.Data, Commit: r.log.committed,
