--- a/storage/frame.go
+++ b/storage/frame.go
@@ -116,8 +116,9 @@
 
 // logContents is the result of the replay of a log.
 type logContents struct {
-	hardState raft.HardState
-	entries   []*api.Entry // with contiguous indexes
+	snapshotIndex uint64 // of the stored snapshot; 0 if there is none
+	hardState     raft.HardState
+	entries       []*api.Entry // with contiguous indexes
 }
 
 // replayFrame applies the records of the payload of a frame.
@@ -157,15 +158,20 @@
 	return fmt.Errorf("unknown record type %d", t)
 }
 
-// addEntry appends an entry and drops the stored entries from its index on.
+// addEntry appends an entry and drops the stored entries from its index on. The entries before a gap are
+// dropped as well if the snapshot covers the missing ones.
 func (c *logContents) addEntry(e *api.Entry) error {
 	if len(c.entries) > 0 {
 		first := c.entries[0].Index
 		next := first + uint64(len(c.entries))
-		if e.Index > next {
+		switch {
+		case e.Index <= next:
+			c.entries = c.entries[:max(e.Index, first)-first]
+		case e.Index <= c.snapshotIndex+1:
+			c.entries = nil
+		default:
 			return fmt.Errorf("gap in the log: entry %d follows entry %d", e.Index, next-1)
 		}
-		c.entries = c.entries[:max(e.Index, first)-first]
 	}
 	c.entries = append(c.entries, e)
 	return nil
--- a/storage/log.go
+++ b/storage/log.go
@@ -69,11 +69,24 @@
 	if state.Snapshot, err = loadSnapshot(fs, dir, names); err != nil {
 		return nil, nil, err
 	}
-	if err := l.load(names, state); err != nil {
+	c, err := l.load(names, state)
+	if err != nil {
 		return nil, nil, err
 	}
 	l.hardState = state.HardState
-	return l, state, l.openLastSegment()
+	if err := l.openLastSegment(); err != nil {
+		return nil, nil, err
+	}
+	if len(c.entries) == 0 || len(state.Entries) > 0 {
+		return l, state, nil
+	}
+	// A stop may have prevented the reset after a snapshot was installed. Without it, the entries that
+	// are stored next would follow entries that are not part of the log.
+	if err := l.writeReset(l.snapshotIndex); err != nil {
+		_ = l.Close() // the first error is reported
+		return nil, nil, err
+	}
+	return l, state, nil
 }
 
 func (l *Log) makeDirectory() error {
@@ -87,7 +100,7 @@
 	return nil
 }
 
-func (l *Log) load(names []string, state *State) error {
+func (l *Log) load(names []string, state *State) (*logContents, error) {
 	for _, n := range names {
 		var s segment
 		if _, err := fmt.Sscanf(n, "log-%016x", &s.sequence); err == nil && !strings.HasSuffix(n, temporarySuffix) {
@@ -95,16 +108,19 @@
 		}
 	}
 	c := &logContents{}
+	if state.Snapshot != nil {
+		c.snapshotIndex = state.Snapshot.Meta.Index
+	}
 	for i := range l.segments {
 		if i > 0 && l.segments[i].sequence != l.segments[i-1].sequence+1 {
-			return &CorruptError{Path: filepath.Join(l.dir, l.segments[i].name()), Reason: "the previous segment is missing"}
+			return nil, &CorruptError{Path: filepath.Join(l.dir, l.segments[i].name()), Reason: "the previous segment is missing"}
 		}
 		if err := l.loadSegment(i, c); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	state.HardState = c.hardState
-	return l.trimToSnapshot(c, state, names)
+	return c, l.trimToSnapshot(c, state, names)
 }
 
 // trimToSnapshot keeps the entries after the snapshot, and raises the hard state to it.
@@ -389,15 +405,23 @@
 	if err := l.WriteSnapshot(s); err != nil {
 		return nil, l.fail("write", l.dir, err)
 	}
+	if err := l.writeReset(s.Meta.Index); err != nil {
+		return nil, err
+	}
+	return l.ObsoleteFiles(s.Meta.Index), nil
+}
+
+// writeReset discards the stored entries, which a snapshot at index replaces.
+func (l *Log) writeReset(index uint64) error {
 	l.beginFrame()
-	l.buffer = appendReset(l.buffer, s.Meta.Index)
+	l.buffer = appendReset(l.buffer, index)
 	if err := l.writeFrame(true); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range l.segments {
 		l.segments[i].lastIndex = 0
 	}
-	return l.ObsoleteFiles(s.Meta.Index), nil
+	return nil
 }
 
 // Close closes the log. Writes without a sync may be lost.
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -278,3 +278,58 @@
 	_, s := openLog(t, fs)
 	require.Equal(t, raft.HardState{Term: 4, VoteID: 2, Commit: 3}, s.HardState)
 }
+
+// TestInterruptedInstallation guards against a log that cannot be read after a stop between the snapshot that
+// a replica installed and the next write of its log, for example on a full disk: the entries after the
+// snapshot must be read, whether the log before it ended earlier or had diverged.
+func TestInterruptedInstallation(t *testing.T) {
+	for name, stored := range map[string][]*api.Entry{
+		"empty":                   nil,
+		"behind":                  entries(1, 3, 1),
+		"up to the snapshot":      entries(1, 10, 1),
+		"diverged":                entries(1, 12, 1),
+		"diverged at its end":     entries(1, 10, 1),
+		"beyond the snapshot":     append(entries(1, 9, 1), entries(10, 12, 2)...),
+		"behind, several entries": entries(1, 9, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			fs := newMemoryFS()
+			l, _ := openLog(t, fs)
+			require.NoError(t, l.Append(&raft.HardState{Term: 1}, stored, true))
+			require.NoError(t, l.WriteSnapshot(snapshotAt(10, 2)))
+			for range 2 { // the second stop comes before anything is written
+				fs = fs.crash(0)
+				l, _ = openLog(t, fs)
+			}
+			first := uint64(11)
+			if name == "beyond the snapshot" {
+				first = 13
+			}
+			require.NoError(t, l.Append(&raft.HardState{Term: 2}, entries(first, 15, 2), true))
+			fs = fs.crash(0)
+			_, state := openLog(t, fs)
+			require.EqualValues(t, 10, state.Snapshot.Meta.Index)
+			requireEntries(t, entries(11, 15, 2), state.Entries)
+		})
+	}
+}
+
+// TestGapBelowSnapshot checks that a log with a gap that a snapshot covers can be read: earlier versions left
+// one after an interrupted installation. A gap above the snapshot is corruption.
+func TestGapBelowSnapshot(t *testing.T) {
+	for first, readable := range map[uint64]bool{9: true, 11: true, 12: false} {
+		fs := newMemoryFS()
+		l, _ := openLog(t, fs)
+		require.NoError(t, l.Append(&raft.HardState{Term: 1}, entries(1, 3, 1), true))
+		require.NoError(t, l.WriteSnapshot(snapshotAt(10, 1)))
+		require.NoError(t, l.Append(nil, entries(first, 15, 1), true))
+		_, state, err := OpenLog(fs, logDir, 200)
+		if !readable {
+			var corrupt *CorruptError
+			require.ErrorAs(t, err, &corrupt)
+			continue
+		}
+		require.NoError(t, err)
+		requireEntries(t, entries(11, 15, 1), state.Entries)
+	}
+}
