soak: a run reports for how long the machine holds it up

Change: each run measures its own pauses and synced writes, and prints the longest ones and when they ended. No check and no bound changes.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,6 +71,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
+	var machine machineWatch
+	running.Go(func() { machine.run(ctx, c.dir) })
 	c.publishFirstConfig(ctx)
 	c.awaitReady()
 	operatorCtx, stopOperators := context.WithCancel(ctx)
@@ -96,6 +98,7 @@
 	running.Wait()
 	c.checker.checkRetryBudget()
 	t.Logf("seed %d: %s", seed, c.checker.summary())
+	t.Logf("machine: %s", machine.summary())
 	require.Empty(t, c.checker.violations)
 }
 
