control, soak: the disks of a test stand before its replicas start

Cause: read again as a newcomer: the test cluster filled its map of disks while the replicas that it had started read it. Change: the map is complete before the first replica starts; a comment of the soak says what a long hold means.

--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -99,6 +99,8 @@
 	}
 	for _, address := range c.addresses {
 		c.disks[address] = &fillableDisk{}
+	}
+	for _, address := range c.addresses { // the replicas read the map
 		c.ended.Go(func() { c.keepRunning(address) })
 	}
 	return c
--- a/soak/machine_test.go
+++ b/soak/machine_test.go
@@ -19,8 +19,8 @@
 )
 
 // machineWatch measures for how long the machine holds up a process: this one when it wants to run, and a
-// write when it is synced to the disk that the control replicas use. All VMs of a cluster share the
-// machine, so a long hold is a fault that no VM of a real installation has alone.
+// write when it is synced to the disk that the control replicas use. All VMs of a cluster share that
+// machine, so a long hold affects all of them at once, which no injected fault does.
 type machineWatch struct {
 	mu     sync.Mutex
 	events []string
