--- a/cmd/bilberrydeck/fleet.go
+++ b/cmd/bilberrydeck/fleet.go
@@ -54,5 +54,5 @@
 	defer unregister()
 	logger, flush := logging.NewProcess(e.stdout)
 	defer flush()
-	return run(ctx, process.FleetOptions{Settings: *file, Dial: extra.Dial, Reload: reload, Logger: logger})
+	return run(ctx, process.FleetOptions{Settings: *file, Dial: extra.Dial, Limits: extra.Limits, Reload: reload, Logger: logger})
 }
--- a/core/chain/outcome.go
+++ b/core/chain/outcome.go
@@ -45,6 +45,7 @@
 	ReasonNone              Reason = ""
 	ReasonOverload          Reason = "overload"                  // rejected by the admission level or a full queue
 	ReasonUpstreamRefused   Reason = "upstream-refused"          // the upstream itself rejected it, regardless of its load
+	ReasonNoMemory          Reason = "no-memory"                 // what the daemon may hold for clients is used up
 	ReasonDownstream        Reason = "downstream-overload"       // rejected early: a dependency is overloaded
 	ReasonDeadline          Reason = "deadline"                  // the deadline passed or cannot be met
 	ReasonTooLate           Reason = "too-late"                  // arrived with less remaining time than the service time
@@ -153,7 +154,7 @@
 // RetryableByCaller reports whether the response should have a Retry-After header.
 func (f *Failure) RetryableByCaller() bool {
 	switch f.Reason {
-	case ReasonOverload, ReasonUpstreamRefused, ReasonDownstream, ReasonDraining, ReasonStopping, ReasonUnhealthy, ReasonNoUpstream, ReasonLinkBudget, ReasonRetryBudget,
+	case ReasonOverload, ReasonNoMemory, ReasonUpstreamRefused, ReasonDownstream, ReasonDraining, ReasonStopping, ReasonUnhealthy, ReasonNoUpstream, ReasonLinkBudget, ReasonRetryBudget,
 		ReasonHeldOff, ReasonClaimsUnavailable, ReasonUnconfirmed, ReasonInProgress:
 		return true
 	}
--- a/crowd/daemon_test.go
+++ b/crowd/daemon_test.go
@@ -55,10 +55,7 @@
 			"listen": {"entrance": %q, "exit": %q, "peer": %q, "admin": %q}, "relays": [%q], "controls": [%q]}`,
 			name, section, ingress, freeport.Address(t), freeport.Address(t), freeport.Address(t), relay, control))
 		s.ingress = append(s.ingress, ingress)
-		s.daemons = append(s.daemons, startProcess(t, "daemon", "-settings", file))
-		if l.descriptors > 0 {
-			s.daemons[len(s.daemons)-1].limitDescriptors(l.descriptors)
-		}
+		s.daemons = append(s.daemons, startLimitedProcess(t, l.descriptors, "daemon", "-settings", file))
 	}
 	s.publish(control)
 	for _, ingress := range s.ingress {
--- a/crowd/fleet_test.go
+++ b/crowd/fleet_test.go
@@ -98,10 +98,10 @@
 		f.daemons = append(f.daemons, v)
 	}
 	for _, v := range f.controls {
-		v.process = f.start("fleet-control", v, l)
+		v.process = f.start("fleet-control", v)
 	}
 	for _, v := range f.daemons {
-		v.process = f.start("fleet-daemon", v, l)
+		v.process = f.start("fleet-daemon", v)
 	}
 	f.publish(1)
 	for _, v := range f.daemons {
@@ -130,7 +130,7 @@
 	v := &vm{host: fmt.Sprintf("127.%d.%d.1", f.network, n)}
 	v.settings = platform.Settings{
 		VM: name, Address: netip.MustParseAddr(v.host), AvailabilityZone: "zone", Region: "region", RegionOf: map[string]string{"zone": "region"},
-		FirstStart: true, DataDir: filepath.Join(f.dir, name), MemoryBytes: l.memoryBytes, ControlAddress: v.addressOf(portControl), ReplicaPort: portReplica,
+		FirstStart: true, DataDir: filepath.Join(f.dir, name), MemoryBytes: l.memoryBytes, MaxDescriptors: l.descriptors, ControlAddress: v.addressOf(portControl), ReplicaPort: portReplica,
 		ToleratedFailures: 1, HeartbeatInterval: 500 * time.Millisecond, ShutdownGracePeriod: grace, MaxConfigApplyTime: 2 * time.Second,
 		RetryRatio: 0.2, MinRetries: 49, RetryWindow: 10 * time.Second,
 	}
@@ -143,15 +143,10 @@
 func (v *vm) addressOf(port int) string { return fmt.Sprintf("%s:%d", v.host, port) }
 
 // start writes the settings of a VM and starts its process.
-func (f *fleet) start(command string, v *vm, l limits) *process {
+func (f *fleet) start(command string, v *vm) *process {
 	v.settings.Role = command
 	text, err := platform.EncodeSettings(&v.settings)
 	require.NoError(f.t, err)
-	memory := fmt.Sprint("memory_mb = ", l.memoryBytes>>20)
-	require.Contains(f.t, string(text), memory)
-	if l.descriptors > 0 {
-		text = []byte(strings.Replace(string(text), memory, memory+fmt.Sprint("\nmax_fds = ", l.descriptors), 1))
-	}
 	path := filepath.Join(f.dir, v.settings.VM+".toml")
 	require.NoError(f.t, os.WriteFile(path, text, 0o600))
 	return startProcess(f.t, command, "-settings", path)
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 )
 
 // process is one process of the program under test. It records how much it holds.
@@ -30,11 +29,20 @@
 
 // startProcess starts the program. It is killed when the test ends.
 func startProcess(t *testing.T, args ...string) *process {
+	return startLimitedProcess(t, 0, args...)
+}
+
+// startLimitedProcess starts the program with a limit of descriptors that the kernel enforces, 0 for none.
+func startLimitedProcess(t *testing.T, descriptors int, args ...string) *process {
 	path, err := binary()
 	require.NoError(t, err)
+	cmd := exec.Command(path, args...)
+	if descriptors > 0 {
+		cmd = exec.Command("/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors), path}, args...)...)
+	}
 	log, err := os.CreateTemp(t.TempDir(), args[0]+"-*.log")
 	require.NoError(t, err)
-	p := &process{t: t, args: args, cmd: exec.Command(path, args...), log: log.Name(), done: make(chan struct{})}
+	p := &process{t: t, args: args, cmd: cmd, log: log.Name(), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	require.NoError(t, p.cmd.Start())
 	go func() {
@@ -56,12 +64,6 @@
 	return p
 }
 
-// limitDescriptors sets the limit of descriptors of the process, as the kernel enforces it.
-func (p *process) limitDescriptors(n int) {
-	limit := unix.Rlimit{Cur: uint64(n), Max: uint64(n)}
-	require.NoError(p.t, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
-}
-
 // watch samples the descriptors of the process until it ends.
 func (p *process) watch() {
 	for {
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -12,6 +12,7 @@
 	chain.ReasonOverload:        "rejected, not executed: no upstream that was tried had capacity for its priority",
 	chain.ReasonUpstreamRefused: "rejected, not executed: the upstreams that were tried rejected it themselves",
 	chain.ReasonDownstream:      "rejected, not executed: a downstream dependency rejects the calls that such requests issue",
+	chain.ReasonNoMemory:        "what a daemon may hold for its clients was used up, or its own client made less progress than others that waited",
 	chain.ReasonStopping:        "the daemon that took it, or the daemons of the upstreams that were tried, shut down before it could be completed",
 	chain.ReasonDraining:        "rejected, not executed: the upstreams that were tried are draining or their daemons shut down",
 	chain.ReasonUnhealthy:       "rejected, not executed: the upstreams that were tried fail or hang, and no other one had capacity in time",
--- a/forward/call.go
+++ b/forward/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/core/admission"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 	"github.com/bilberrydeck/bilberrydeck/logging"
@@ -35,9 +36,11 @@
 	method, target, host string
 	header               http.Header // end-to-end headers for the upstream
 	body                 []byte
-	stream               io.Reader      // replaces body
-	length               int64          // of the stream, -1 if unknown
-	unread               *httpwire.Body // the stream of a call whose sender waits for a 100 Continue
+	stream               io.Reader       // replaces body
+	length               int64           // of the stream, -1 if unknown
+	unread               *httpwire.Body  // the stream of a call whose sender waits for a 100 Continue
+	buffer               *bodyBuffer     // holds body, or the beginning of the stream; nil without one
+	holder               *holding.Holder // is charged with what the call takes
 }
 
 // admissionPriority returns the priority of a call at admission controllers. Subsequent
@@ -67,6 +70,11 @@
 	return int64(len(c.body))
 }
 
+// sendsLongBody reports whether the body is passed on while its sender sends it.
+func (c *call) sendsLongBody() bool {
+	return c.stream != nil && (c.length < 0 || c.length >= maxBufferedBody)
+}
+
 // connectionReuse returns which idle connections may carry the call.
 func (c *call) connectionReuse(maxIdle time.Duration) httpwire.Reuse {
 	r := httpwire.Reuse{MaxIdle: maxIdle, RequestID: c.id}
@@ -79,7 +87,7 @@
 // clientRequest returns the call as an HTTP request with additional headers.
 func (c *call) clientRequest(set ...httpwire.HeaderField) *httpwire.ClientRequest {
 	return &httpwire.ClientRequest{
-		Method: c.method, Target: c.target, Host: c.host, ID: c.id, Header: c.header, Set: set, Body: c.body, Stream: c.stream, Length: c.length,
+		Method: c.method, Target: c.target, Host: c.host, ID: c.id, Header: c.header, Set: set, Body: c.body, Stream: c.stream, Length: c.length, Holder: c.holder,
 	}
 }
 
@@ -144,10 +152,10 @@
 }
 
 // readResponse reads a response from a connection and buffers its body if it is small and the budget
-// has room. release is called once the connection is no longer needed, also after a failure. The
+// and the holder have room. release is called once the connection is no longer needed, also after a failure. The
 // response must be closed.
-func readResponse(ctx context.Context, from *httpwire.ClientResponse, budget *bufferBudget, release func()) (*response, *chain.Failure) {
-	buffer, err := readBuffered(from.Body, from.Length, budget)
+func readResponse(ctx context.Context, from *httpwire.ClientResponse, budget *bufferBudget, holder *holding.Holder, release func()) (*response, *chain.Failure) {
+	buffer, err := readBuffered(from.Body, from.Length, budget, holder)
 	if err != nil {
 		buffer.release()
 		release()
--- a/forward/config.go
+++ b/forward/config.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -42,6 +43,8 @@
 	RetryBudget      RetryBudgetConfig
 	// BufferBytes limits the memory for buffered bodies of responses; 0 means DefaultBufferBytes.
 	BufferBytes int64
+	// Held limits what the daemon holds for clients and other daemons; zero for no limits.
+	Held holding.Limits
 	// ShutdownGracePeriod is the time from SIGTERM after which the process is killed.
 	ShutdownGracePeriod time.Duration
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/core/admission"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
@@ -23,6 +24,7 @@
 	peers      *peerPools
 	buffers    *bufferBudget // of the bodies of responses
 	withdrawal *withdrawal
+	ledger     *holding.Ledger // of what the daemon holds for clients and other daemons
 
 	ingress, peerServer           httpwire.Server
 	ingressListener, peerListener net.Listener
@@ -40,13 +42,15 @@
 	f := &Forwarder{
 		cfg: cfg, metrics: newMetrics(), services: map[string]*service{},
 		linkBudget: balance.NewLinkBudget(balance.LinkBudgetConfig{BytesPerSecond: linkBytesPerSecond}),
-		peers:      newPeerPools(cfg.ResolvePeer),
+		ledger:     holding.NewLedger(cfg.Held, cfg.Now),
 		buffers:    newBufferBudget(cfg.BufferBytes),
 		withdrawal: newWithdrawal(),
 	}
+	f.peers = newPeerPools(cfg.ResolvePeer, f.ledger)
 	f.local = newUpstreamProxy(f)
-	f.ingress = httpwire.Server{Handle: f.serveIngress, Limits: f.requestLimits, OnBadRequest: f.recordBadRequest}
-	f.peerServer = httpwire.Server{Handle: f.servePeer, Limits: peerLimits, OnBadRequest: f.recordBadRequest}
+	f.ledger.OnShortage(f.closeIdleConnections)
+	f.ingress = httpwire.Server{Handle: f.serveIngress, Limits: f.requestLimits, OnBadRequest: f.recordBadRequest, Ledger: f.ledger}
+	f.peerServer = httpwire.Server{Handle: f.servePeer, Limits: peerLimits, OnBadRequest: f.recordBadRequest, Ledger: f.ledger, Source: holding.Peers}
 	var err error
 	listen := net.ListenConfig{}
 	if f.ingressListener, err = listen.Listen(ctx, "tcp", cfg.IngressAddress); err != nil {
@@ -61,6 +65,12 @@
 	return f, nil
 }
 
+// closeIdleConnections closes the idle connections to other daemons and to the upstream.
+func (f *Forwarder) closeIdleConnections() {
+	f.peers.closeIdle()
+	f.local.pool.CloseIdleConnections()
+}
+
 // admissionLoad returns the load of the local admission controller, zero without an
 // upstream.
 func (f *Forwarder) admissionLoad() admission.LoadReport {
@@ -92,6 +102,9 @@
 // Ready reports whether the daemon has a configuration and is not shutting down.
 func (f *Forwarder) Ready() bool { return !f.draining.Load() && f.view.Load() != nil }
 
+// Held returns what the daemon holds for clients and other daemons.
+func (f *Forwarder) Held() holding.Usage { return f.ledger.Usage() }
+
 // WriteMetrics writes the metrics of the daemon in the Prometheus text format.
 func (f *Forwarder) WriteMetrics(w io.Writer) error { return f.metrics.write(w) }
 
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/core/lifecycle"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
 	"github.com/bilberrydeck/bilberrydeck/logging"
@@ -130,6 +131,7 @@
 	stopped []chan struct{}
 	table   *routing.Table
 	logger  *logging.Logger // nil discards the lines before they are formatted
+	held    holding.Limits  // of each daemon that is started
 
 	clockDelay  atomic.Int64 // nanoseconds that each reading of the clock takes
 	clockOffset atomic.Int64 // nanoseconds that the clock is ahead of testClock
@@ -138,7 +140,12 @@
 const testSlots = 4
 
 func newTestFleet(t testing.TB, table *routing.Table, upstreams ...*fakeUpstream) *testFleet {
-	f := &testFleet{t: t, table: table}
+	return newLimitedFleet(t, holding.Limits{}, table, upstreams...)
+}
+
+// newLimitedFleet starts a fleet whose daemons have limits of what they hold for clients.
+func newLimitedFleet(t testing.TB, held holding.Limits, table *routing.Table, upstreams ...*fakeUpstream) *testFleet {
+	f := &testFleet{t: t, table: table, held: held}
 	for i, u := range upstreams {
 		f.startDaemon(i, u)
 	}
@@ -170,7 +177,7 @@
 	d, err := New(context.Background(), Config{
 		IngressAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", UpstreamAddress: u.address, Service: "orders",
 		Region: "north", AvailabilityZone: fmt.Sprint("zone-", i), HeaderNames: testHeaderNames,
-		RetryBudget: RetryBudgetConfig{Ratio: 0.2, MinRetries: 20, Window: 10 * time.Second}, ShutdownGracePeriod: 400 * time.Millisecond, Now: f.now, Logger: f.logger,
+		RetryBudget: RetryBudgetConfig{Ratio: 0.2, MinRetries: 20, Window: 10 * time.Second}, ShutdownGracePeriod: 400 * time.Millisecond, Now: f.now, Logger: f.logger, Held: f.held,
 	})
 	require.NoError(f.t, err)
 	_, d.cfg.PeerAddress = d.ListenAddresses()
--- a/forward/ingress.go
+++ b/forward/ingress.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -44,6 +43,7 @@
 	f.metrics.clientRequests.Inc()
 	r := &request{f: f, exchange: x, receivedAt: f.cfg.Now()}
 	r.call.id = x.Request.Header.Get(f.cfg.HeaderNames.RequestID)
+	defer func() { r.call.buffer.giveBack() }() // the buffer is read later
 	if failure := r.prepare(); failure != nil {
 		r.respondError(&result{failure: failure})
 		return
@@ -115,7 +115,7 @@
 	r.deadline = r.receivedAt.Add(requestTimeout(r.route, r.clientTimeout))
 	r.call = call{
 		id: r.call.id, route: headerToken(r.route.Name), kind: r.route.Kind, service: r.service.name, deadline: r.deadline,
-		method: req.Method, target: req.RequestURI, host: req.Host, header: req.Header,
+		method: req.Method, target: req.RequestURI, host: req.Host, header: req.Header, holder: r.exchange.Holder(),
 	}
 	removeInternalHeaders(r.call.header)
 	delete(r.call.header, f.cfg.HeaderNames.Deadline) // each hop sends what is left
@@ -181,14 +181,17 @@
 
 // readBody buffers a body up to maxBufferedBody; the rest of a larger one is streamed.
 func (c *call) readBody(from io.Reader, length int64) *chain.Failure {
-	body, err := io.ReadAll(io.LimitReader(from, maxBufferedBody))
+	buffer, err := readRequestBody(from, length, c.holder)
+	c.buffer = buffer
 	switch {
 	case err != nil:
 		return bodyFailure(err)
-	case len(body) == maxBufferedBody:
-		c.stream, c.length = io.MultiReader(bytes.NewReader(body), from), length
+	case buffer.refused:
+		return chain.NewFailure(chain.NotRun, chain.ReasonNoMemory, "the memory for requests is used up")
+	case buffer.complete:
+		c.body, c.stream, c.length = buffer.bytes, nil, 0
 	default:
-		c.body, c.stream, c.length = body, nil, 0
+		c.stream, c.length = io.MultiReader(buffer, from), length
 	}
 	return nil
 }
@@ -197,6 +200,8 @@
 	switch {
 	case errors.Is(err, httpwire.ErrBodyTooLarge):
 		return chain.WrapFailure(chain.NotRun, chain.ReasonTooLarge, "the request body exceeds the limit", err)
+	case errors.Is(err, httpwire.ErrEvicted):
+		return chain.WrapFailure(chain.NotRun, chain.ReasonNoMemory, "the request body arrives too slowly while the memory for requests is used up", err)
 	case errors.Is(err, httpwire.ErrBodyInterrupted):
 		return chain.WrapFailure(chain.NotRun, chain.ReasonStopping, "the daemon stops before the request body has arrived", err)
 	}
@@ -415,6 +420,10 @@
 // defaultRetryAfter is the Retry-After of a rejection that states none.
 const defaultRetryAfter = 500 * time.Millisecond
 
+// noMemoryRetryAfter is the Retry-After of a rejection for which there was no room. By then, clients
+// without progress have been asked to go.
+const noMemoryRetryAfter = time.Second
+
 // retryAfter returns the value of the Retry-After header, false if the client must not retry.
 func (r *request) retryAfter(res *result) (time.Duration, bool) {
 	if res.failure.Outcome != chain.NotRun || httpStatus(res.failure) != http.StatusServiceUnavailable {
@@ -425,6 +434,8 @@
 		return res.retryAfter, true
 	case res.failure.Reason == chain.ReasonStopping:
 		return shutdownRetryAfter, true
+	case res.failure.Reason == chain.ReasonNoMemory:
+		return noMemoryRetryAfter, true
 	}
 	return defaultRetryAfter, true
 }
--- a/forward/local_upstream.go
+++ b/forward/local_upstream.go
@@ -15,7 +15,6 @@
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/core/correlation"
 	"github.com/bilberrydeck/bilberrydeck/core/lifecycle"
-	"github.com/bilberrydeck/bilberrydeck/core/routing"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 )
 
@@ -64,8 +63,7 @@
 
 func (l *upstreamProxy) dial(ctx context.Context) (net.Conn, error) {
 	l.f.metrics.connections.Inc()
-	dialer := net.Dialer{Timeout: localConnectTimeout}
-	return dialer.DialContext(ctx, "tcp", l.f.cfg.UpstreamAddress)
+	return dialHeld(ctx, l.f.ledger, net.Dialer{Timeout: localConnectTimeout}, l.f.cfg.UpstreamAddress)
 }
 
 // OnUpstreamChange registers a callback for each change of the local upstream. It must be
@@ -162,9 +160,9 @@
 	// then lower with all slots in use than with this headroom. For upstreams that do not slow
 	// down, the headroom costs a twentieth of the capacity.
 	headroomRatio = 0.05
-	// uploadRatio is the fraction of the slots that uploads may use. A body is buffered before it
-	// is sent, so an upload is as short as other requests.
-	uploadRatio = 1
+	// uploadRatio is the fraction of the slots that long uploads may use, whose senders can hold them
+	// up. Other bodies are buffered before they are sent, so that their requests are as short as others.
+	uploadRatio = 0.5
 	// minRemainingRatio is the minimum remaining time of a request, as a fraction of its route's
 	// mean execution time. Execution times vary widely, so many requests complete within half of
 	// the mean, whereas the rejection of a call makes its parent request fail.
@@ -229,7 +227,7 @@
 	}
 	q := l.queue.Load()
 	enqueuedAt := l.f.cfg.Now()
-	permit, retryAfter, failure := q.Acquire(ctx, admission.Request{Priority: c.admissionPriority(), Deadline: c.deadline, StreamingUpload: c.kind == routing.Upload, Route: c.route})
+	permit, retryAfter, failure := q.Acquire(ctx, admission.Request{Priority: c.admissionPriority(), Deadline: c.deadline, StreamingUpload: c.sendsLongBody(), Route: c.route})
 	if failure != nil {
 		return l.reject(c, failure, retryAfter)
 	}
@@ -340,7 +338,7 @@
 		conn.Close()
 		return l.exchangeFailure(ctx, written, err)
 	}
-	return l.classifyResponse(ctx, conn, resp)
+	return l.classifyResponse(ctx, c, conn, resp)
 }
 
 // targetID returns the id of the upstream that is to execute the call: the current
@@ -371,6 +369,9 @@
 	if ctx.Err() != nil {
 		return &result{failure: chain.FailureFromContext(ctx, chain.NotRun, "cancelled or expired before a connection to the upstream was open")}
 	}
+	if errors.Is(err, errNoConnection) {
+		return &result{failure: noConnectionFailure(err)}
+	}
 	l.markUnreachable(err)
 	return &result{failure: chain.WrapFailure(chain.NotRun, chain.ReasonConnect, "no connection to the upstream", err)}
 }
@@ -394,10 +395,10 @@
 }
 
 // classifyResponse classifies a response whose head was read, and reads its body.
-func (l *upstreamProxy) classifyResponse(ctx context.Context, conn *httpwire.ClientConn, from *httpwire.ClientResponse) *result {
+func (l *upstreamProxy) classifyResponse(ctx context.Context, c *call, conn *httpwire.ClientConn, from *httpwire.ClientResponse) *result {
 	names := &l.f.cfg.HeaderNames
 	contradicted := false
-	resp, failure := readResponse(ctx, from, l.f.buffers, func() {
+	resp, failure := readResponse(ctx, from, l.f.buffers, c.holder, func() {
 		// A rejection that is followed by another response does not prove anything.
 		contradicted = isRejection(from, names) && conn.HasExcessInput()
 		l.pool.Put(conn)
--- a/forward/peer_client.go
+++ b/forward/peer_client.go
@@ -8,18 +8,20 @@
 	"sync"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/httpwire"
 )
 
 // peerPools holds the connection pools to other daemons.
 type peerPools struct {
+	ledger  *holding.Ledger
 	resolve func(advertised string) string
 	mu      sync.Mutex
 	pools   map[string]*httpwire.Pool // by peer address
 }
 
-func newPeerPools(resolve func(string) string) *peerPools {
-	return &peerPools{resolve: resolve, pools: map[string]*httpwire.Pool{}}
+func newPeerPools(resolve func(string) string, ledger *holding.Ledger) *peerPools {
+	return &peerPools{ledger: ledger, resolve: resolve, pools: map[string]*httpwire.Pool{}}
 }
 
 func (p *peerPools) pool(address string) *httpwire.Pool {
@@ -28,12 +30,23 @@
 	pool := p.pools[address]
 	if pool == nil {
 		dialer := net.Dialer{Timeout: peerConnectTimeout}
-		pool = &httpwire.Pool{Dial: func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", p.resolve(address)) }}
+		pool = &httpwire.Pool{Dial: func(ctx context.Context) (net.Conn, error) {
+			return dialHeld(ctx, p.ledger, dialer, p.resolve(address))
+		}}
 		p.pools[address] = pool
 	}
 	return pool
 }
 
+// closeIdle closes the idle connections to all daemons.
+func (p *peerPools) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		pool.CloseIdleConnections()
+	}
+}
+
 // continueThreshold is the minimum size in bytes of a body that is sent only after the admission
 // controller has admitted the request, so that a rejection costs no transfer. The body of a
 // non-idempotent request is sent only then at any size: if the connection fails before, the
@@ -49,6 +62,9 @@
 		if ctx.Err() != nil {
 			return &result{failure: chain.FailureFromContext(ctx, chain.NotRun, "cancelled or expired before a connection to the upstream's daemon was open")}
 		}
+		if errors.Is(err, errNoConnection) {
+			return &result{failure: noConnectionFailure(err)}
+		}
 		return &result{failure: chain.WrapFailure(chain.NotRun, chain.ReasonConnect, "no connection to the upstream's daemon", err)}
 	}
 	req := f.peerRequest(c)
@@ -58,7 +74,7 @@
 		conn.Close()
 		return peerExchangeFailure(ctx, mayHaveExecuted, err)
 	}
-	return asWithdrawn(req.Withdraw, readPeerResponse(ctx, pool, conn, from, f.buffers))
+	return asWithdrawn(req.Withdraw, readPeerResponse(ctx, pool, conn, from, f.buffers, c.holder))
 }
 
 // peerRequest returns the call as it is sent to a peer.
@@ -88,11 +104,11 @@
 }
 
 // readPeerResponse reads the response of a peer and its internal headers.
-func readPeerResponse(ctx context.Context, pool *httpwire.Pool, conn *httpwire.ClientConn, from *httpwire.ClientResponse, budget *bufferBudget) *result {
+func readPeerResponse(ctx context.Context, pool *httpwire.Pool, conn *httpwire.ClientConn, from *httpwire.ClientResponse, budget *bufferBudget, holder *holding.Holder) *result {
 	loadReport := parseLoadReport(from.Header)
 	rejection := from.Header.Get(headerRejection)
 	dependency := from.Header.Get(headerDependency)
-	resp, failure := readResponse(ctx, from, budget, func() { pool.Put(conn) })
+	resp, failure := readResponse(ctx, from, budget, holder, func() { pool.Put(conn) })
 	if failure != nil {
 		return &result{failure: failure, delivered: true, loadReport: loadReport}
 	}
--- a/forward/peer_server.go
+++ b/forward/peer_server.go
@@ -19,8 +19,9 @@
 	f.metrics.peerRequests.Inc()
 	c := &call{
 		id: x.Request.Header.Get(f.cfg.HeaderNames.RequestID), method: x.Request.Method, target: x.Request.RequestURI,
-		host: x.Request.Host, header: x.Request.Header,
+		host: x.Request.Host, header: x.Request.Header, holder: x.Holder(),
 	}
+	defer func() { c.buffer.giveBack() }() // the buffer is read later
 	if !parseCall(x.Request.Header.Get(headerCall), f.cfg.Now(), c) {
 		f.respondToPeer(x, rejected(chain.ReasonBadRequest, "the request has no valid Bilberry-Call header"))
 		return
--- a/forward/upstream_probe.go
+++ b/forward/upstream_probe.go
@@ -201,7 +201,7 @@
 		conn.Close()
 		return nil, err
 	}
-	resp, failure := readResponse(ctx, from, l.f.buffers, func() { l.pool.Put(conn) })
+	resp, failure := readResponse(ctx, from, l.f.buffers, nil, func() { l.pool.Put(conn) })
 	if failure != nil {
 		return nil, failure
 	}
--- a/httpwire/clientconn.go
+++ b/httpwire/clientconn.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 )
 
 // ClientRequest is a request to be sent to a server.
@@ -39,6 +41,8 @@
 	// does not end the exchange of a request that the server may be executing: the server responds
 	// whether it was executed. The server must treat the end of its input as the end of the client.
 	Withdraw context.Context
+	// Holder is charged with the memory that sending the body takes; it may be nil.
+	Holder *holding.Holder
 }
 
 // HeaderField is one header with a single value.
@@ -247,7 +251,7 @@
 		if body == nil {
 			body = bytes.NewReader(req.Body)
 		}
-		err := copyBody(countingWriter{c}, body, req.length(), true)
+		err := copyBody(countingWriter{c}, body, req.length(), true, req.Holder)
 		if err != nil {
 			c.unusable.Store(true)
 			if errors.Is(err, errBodyTooShort) || req.Stream != nil {
--- a/httpwire/doc.go
+++ b/httpwire/doc.go
@@ -53,6 +53,8 @@
 	Status int // of the server's response
 	Reason string
 	Cause  error
+	// RetryAfter is when the client may send the request again, 0 if it is not told.
+	RetryAfter time.Duration
 }
 
 func (e *ParseError) Error() string {
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 )
 
 // maxDiscardedBody is the size in bytes up to which the unread rest of a request body is read, so
@@ -25,17 +27,22 @@
 	previousWritten <-chan struct{} // closed when the previous response has been written
 	written         chan struct{}
 	once            sync.Once
+	held            int64 // memory for the head
 }
 
 func newExchange(c *serverConn, req *http.Request, limits RequestLimits) *ServerExchange {
 	x := &ServerExchange{Request: req, ReceivedAt: time.Now(), conn: c, written: make(chan struct{})}
 	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
 		x.Body = newBody(x, limits, req.Header.Get("Expect") != "")
+		c.holder.BeginMessage(holding.Receiving)
 	}
 	removeHopByHopHeaders(req.Header)
 	return x
 }
 
+// Holder returns the holder of the connection, to which what the exchange takes is charged.
+func (x *ServerExchange) Holder() *holding.Holder { return x.conn.holder }
+
 // Context returns a context that ends when the client disconnects. It is that of the connection, so
 // what waits for its end must not outlast the exchange.
 func (x *ServerExchange) Context() context.Context { return x.conn.ctx }
@@ -54,6 +61,11 @@
 	if x.Body == nil {
 		return true
 	}
+	x.conn.receiving.Store(x.Body)
+	if x.conn.evicted.Load() {
+		x.Body.evict()
+	}
+	defer x.conn.receiving.Store(nil)
 	select {
 	case <-x.Body.ended:
 	case <-x.conn.ctx.Done():
@@ -118,7 +130,8 @@
 
 func (x *ServerExchange) writeResponse(r *ServerResponse, closing bool) error {
 	nc := x.conn.nc
-	_ = nc.SetWriteDeadline(time.Now().Add(writeStallTimeout)) // fails only on a closed connection, which the write reports
+	x.conn.holder.BeginMessage(holding.Sending)
+	out := stallTimeoutWriter{nc, x.conn.holder}
 	buf := getBuffer()
 	defer putBuffer(buf)
 	length := r.length()
@@ -131,24 +144,27 @@
 		if x.Request.Method == http.MethodHead {
 			body = nil
 		}
-		if len(body) <= maxPooledBuffer {
+		if n := int64(len(body)); n <= maxPooledBuffer && x.conn.holder.Reserve(n) {
+			defer x.conn.holder.Release(n)
 			buf.Write(body)
 			body = nil
 		}
-		_, err := nc.Write(buf.Bytes())
-		if err == nil && len(body) > 0 {
-			_, err = nc.Write(body) // not copied, since a client that reads slowly would hold both
+		_, err := out.Write(buf.Bytes())
+		for err == nil && len(body) > 0 { // not copied, since a client that reads slowly would hold both
+			part := body[:min(len(body), maxWrite)]
+			_, err = out.Write(part)
+			body = body[len(part):]
 		}
 		return err
 	}
-	if _, err := nc.Write(buf.Bytes()); err != nil {
+	if _, err := out.Write(buf.Bytes()); err != nil {
 		return err
 	}
 	if x.Request.Method == http.MethodHead {
 		return nil
 	}
 	chunked := x.Request.ProtoAtLeast(1, 1)
-	err := copyBody(stallTimeoutWriter{nc}, r.Stream, length, chunked)
+	err := copyBody(out, r.Stream, length, chunked, x.conn.holder)
 	if tcp, ok := nc.(*net.TCPConn); ok && err != nil && length < 0 && !chunked {
 		_ = tcp.SetLinger(0) // a reset, since the client would take an orderly end for that of the body
 	}
@@ -182,6 +198,7 @@
 	done         bool
 
 	interrupted atomic.Bool
+	evicted     atomic.Bool
 }
 
 // ErrBodyTooLarge is returned for a body that exceeds the limit.
@@ -208,18 +225,20 @@
 	b.sendContinue()
 	nc := b.exchange.conn.nc
 	_ = nc.SetReadDeadline(time.Now().Add(bodyStallTimeout)) // fails only on a closed connection, which the read reports
-	if b.interrupted.Load() {
-		b.finish(ErrBodyInterrupted)
+	if cause := b.interruption(); cause != nil {
+		b.finish(cause)
 		return 0, b.err
 	}
+	b.exchange.conn.holder.Wait(holding.Receiving)
 	n, err := b.exchange.Request.Body.Read(p)
+	b.exchange.conn.holder.Progress(holding.Receiving, n)
 	_ = nc.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
 	b.received += int64(n)
-	switch {
+	switch cause := b.interruption(); {
 	case b.received > b.limit:
 		err = ErrBodyTooLarge
-	case err != nil && err != io.EOF && b.interrupted.Load():
-		err = ErrBodyInterrupted
+	case err != nil && err != io.EOF && cause != nil:
+		err = cause
 	}
 	if err != nil {
 		b.finish(err)
@@ -237,6 +256,23 @@
 	_ = b.exchange.conn.nc.SetReadDeadline(pastDeadline) // fails only on a closed connection, which the read reports
 }
 
+// evict ends the reading because the client makes too little progress.
+func (b *Body) evict() {
+	b.evicted.Store(true)
+	b.Interrupt()
+}
+
+// interruption returns why the reading of the body was interrupted, nil if it was not.
+func (b *Body) interruption() error {
+	switch {
+	case b.evicted.Load():
+		return ErrEvicted
+	case b.interrupted.Load():
+		return ErrBodyInterrupted
+	}
+	return nil
+}
+
 // sendContinue sends 100 Continue to a client that waits for it.
 func (b *Body) sendContinue() {
 	if b.continueSent || !b.expectsContinue {
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 )
 
 // maxPipelined is the maximum number of requests of one connection that are processed or queued.
@@ -28,6 +30,11 @@
 	Limits func() RequestLimits
 	// OnBadRequest is called for each request that could not be parsed; it may be nil.
 	OnBadRequest func(remote net.Addr, err *ParseError)
+	// Ledger accounts for what the clients of the server hold; nil for no limits. A connection that it does
+	// not accept is closed without a response, so that its client knows that no request was read.
+	Ledger *holding.Ledger
+	// Source is who opens the connections.
+	Source holding.Source
 
 	mu        sync.Mutex
 	conns     map[*serverConn]bool
@@ -90,17 +97,23 @@
 	}
 }
 
+// add returns nil, and closes the connection, if there are too many or the server has been shut down.
 func (s *Server) add(nc net.Conn) *serverConn {
+	c := newServerConn(s, nc)
+	if c == nil {
+		_ = nc.Close() // nothing was read
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		_ = nc.Close() // the server has been shut down
+		c.holder.Close()
+		_ = nc.Close() // as above
 		return nil
 	}
 	if s.conns == nil {
 		s.conns = map[*serverConn]bool{}
 	}
-	c := newServerConn(s, nc)
 	s.conns[c] = true
 	s.openConns.Add(1)
 	return c
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -7,8 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 )
 
 const (
@@ -29,11 +33,15 @@
 	reader        *bufio.Reader
 	ctx           context.Context // ends when the client has disconnected
 	cancel        context.CancelCauseFunc
+	holder        *holding.Holder
+	evicted       atomic.Bool          // the client is asked to go because it holds up others
+	receiving     atomic.Pointer[Body] // the body that is being read from the connection
 
 	mu           sync.Mutex
 	newest       *ServerExchange
 	pending      int  // exchanges whose response has not been written
 	awaitingHead bool // the reader waits for the first byte of a request
+	inHead       bool // the reader waits for the rest of a head
 	idleTimeout  time.Duration
 	closing      bool // no further request is accepted
 	slots        chan struct{}
@@ -46,14 +54,44 @@
 
 var errAborted = errors.New("the connection is aborted because the server shuts down")
 
+// newServerConn returns nil if the ledger does not accept the connection.
 func newServerConn(s *Server, nc net.Conn) *serverConn {
-	c := &serverConn{server: s, nc: nc, limitedSource: &limitedReader{src: nc}, slots: make(chan struct{}, maxPipelined)}
+	c := &serverConn{server: s, nc: nc, slots: make(chan struct{}, maxPipelined)}
+	if c.holder = s.Ledger.Accept(s.Source, c.evict); c.holder == nil {
+		return nil
+	}
+	c.limitedSource = &limitedReader{src: nc}
 	c.reader = bufio.NewReaderSize(c.limitedSource, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
+// evict ends what the client holds up. A request that is not complete is rejected, a response that is not
+// read is cut off, and a connection without a request is closed.
+func (c *serverConn) evict(d holding.Direction) {
+	c.evicted.Store(true)
+	if d == holding.Sending {
+		c.abort()
+		return
+	}
+	if b := c.receiving.Load(); b != nil {
+		b.evict()
+	}
+	c.closeIfIdle()
+	c.interruptHead()
+}
+
+// interruptHead ends the reading of a head.
+func (c *serverConn) interruptHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inHead {
+		_ = c.nc.SetReadDeadline(pastDeadline) // fails only on a closed connection, which the read reports
+	}
+}
+
 func (c *serverConn) serve() {
+	defer c.holder.Close()
 	defer c.server.remove(c)
 	err := c.readRequests()
 	if err != nil {
@@ -76,9 +114,14 @@
 		if err != nil {
 			return c.rejectHead(err)
 		}
+		held := headBytes(req)
+		if !c.holder.ReserveSmall(held) {
+			return c.rejectHead(errNoRoomForHead)
+		}
 		c.slots <- struct{}{}
-		x := c.startExchange(req, limits)
+		x := c.startExchange(req, limits, held)
 		if x == nil {
+			c.holder.Release(held)
 			<-c.slots
 			return c.watchDisconnect()
 		}
@@ -100,11 +143,13 @@
 	c.mu.Lock()
 	c.awaitingHead, c.idleTimeout = true, idle
 	c.setIdleDeadline()
+	c.holder.SetIdle(c.pending == 0)
 	c.mu.Unlock()
 	c.limitedSource.clearLimit()
 	_, err := c.reader.Peek(1)
 	c.mu.Lock()
 	c.awaitingHead = false
+	c.holder.SetIdle(false)
 	_ = c.nc.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
 	c.mu.Unlock()
 	return err
@@ -148,11 +193,20 @@
 
 func (c *serverConn) readHead(limits RequestLimits) (*http.Request, error) {
 	c.limitedSource.setLimit(limits.HeaderBytes, c.reader.Buffered())
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection, which the read reports
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail on buffered bytes
+	if !c.limitedSource.holdHead(c.holder, buffered) {
+		return nil, errNoRoomForHead
+	}
+	defer c.limitedSource.releaseHead()
+	c.holder.BeginMessage(holding.Receiving)
+	c.setHeadDeadline(time.Now().Add(limits.HeaderTimeout))
 	start := c.consumed()
 	req, err := http.ReadRequest(c.reader)
-	_ = c.nc.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next read reports
+	c.setHeadDeadline(time.Time{})
 	c.limitedSource.clearLimit()
+	if c.limitedSource.refused || err != nil && c.evicted.Load() {
+		return nil, errNoRoomForHead
+	}
 	// A head that was buffered as a whole is parsed without a read at the limit.
 	if c.limitedSource.exceeded || c.consumed()-start > int64(limits.HeaderBytes) {
 		return nil, &ParseError{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers exceed the limit"}
@@ -169,6 +223,18 @@
 	return req, nil
 }
 
+// setHeadDeadline sets the deadline of a head, zero at its end. That of a client that is asked to go has
+// passed.
+func (c *serverConn) setHeadDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHead = !deadline.IsZero()
+	if c.inHead && c.evicted.Load() {
+		deadline = pastDeadline
+	}
+	_ = c.nc.SetReadDeadline(deadline) // fails only on a closed connection, which the next read reports
+}
+
 // consumed returns the number of bytes that the client sent and that are no longer buffered.
 func (c *serverConn) consumed() int64 { return c.limitedSource.total - int64(c.reader.Buffered()) }
 
@@ -191,15 +257,19 @@
 	if !errors.As(err, &parse) {
 		return err
 	}
-	if c.server.OnBadRequest != nil {
+	if c.server.OnBadRequest != nil && parse.Status != http.StatusServiceUnavailable { // without room, the request is not at fault
 		c.server.OnBadRequest(c.nc.RemoteAddr(), parse)
 	}
 	c.slots <- struct{}{}
 	c.mu.Lock()
 	c.closing = true
-	x := c.enqueue(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, RequestLimits{})
+	x := c.enqueue(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, RequestLimits{}, 0)
 	c.mu.Unlock()
-	_ = x.Respond(&ServerResponse{Status: parse.Status, Header: http.Header{}}) // the connection is closed in any case
+	resp := &ServerResponse{Status: parse.Status, Header: http.Header{}}
+	if parse.RetryAfter > 0 {
+		resp.Header["Retry-After"] = []string{strconv.FormatFloat(parse.RetryAfter.Seconds(), 'f', 3, 64)}
+	}
+	_ = x.Respond(resp) // the connection is closed in any case
 	return nil
 }
 
@@ -207,7 +277,7 @@
 // response: the client then assumes that the request was not read and sends it again. While the
 // server drains, no request is accepted on a connection with a request in flight: its response
 // would have to wait for the earlier one, possibly beyond the end of the process.
-func (c *serverConn) startExchange(req *http.Request, limits RequestLimits) *ServerExchange {
+func (c *serverConn) startExchange(req *http.Request, limits RequestLimits, held int64) *ServerExchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.server.isDraining() && c.pending > 0 {
@@ -216,12 +286,13 @@
 	if c.closing {
 		return nil
 	}
-	return c.enqueue(req, limits)
+	return c.enqueue(req, limits, held)
 }
 
-// enqueue adds a request after the earlier ones. The caller holds the mutex.
-func (c *serverConn) enqueue(req *http.Request, limits RequestLimits) *ServerExchange {
+// enqueue adds a request, which holds memory for its head, after the earlier ones. The caller holds the mutex.
+func (c *serverConn) enqueue(req *http.Request, limits RequestLimits, held int64) *ServerExchange {
 	x := newExchange(c, req, limits)
+	x.held = held
 	if c.newest != nil {
 		x.previousWritten = c.newest.written
 	}
@@ -233,8 +304,12 @@
 
 // exchangeEnded records that the response of an exchange was written, or that it failed.
 func (c *serverConn) exchangeEnded(x *ServerExchange, failed bool) {
+	c.holder.Release(x.held)
 	c.mu.Lock()
 	c.pending--
+	if c.awaitingHead && c.pending == 0 {
+		c.holder.SetIdle(true)
+	}
 	if c.newest == x {
 		c.newest = nil
 	}
--- a/httpwire/write.go
+++ b/httpwire/write.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 )
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -82,21 +84,37 @@
 // errBodyTooShort is returned for a body that ended before its announced length.
 var errBodyTooShort = errors.New("the body ended before its announced length")
 
+const (
+	// copyBufferBytes is the size of the buffer with which a body is copied.
+	copyBufferBytes = 32 << 10
+	// minCopyBufferBytes is its size if there is no room for a larger one.
+	minCopyBufferBytes = 4 << 10
+)
+
 // copyBody writes a body of a given length, or in chunks if the length is -1. After an error the
-// message is incomplete for its recipient.
-func copyBody(w io.Writer, body io.Reader, length int64, chunked bool) error {
+// message is incomplete for its recipient. Its buffers are charged to the holder.
+func copyBody(w io.Writer, body io.Reader, length int64, chunked bool, holder *holding.Holder) error {
+	size := int64(copyBufferBytes)
 	if length >= 0 {
-		n, err := io.Copy(w, io.LimitReader(body, length))
+		size = min(size, max(length, 1))
+	}
+	if !holder.Reserve(size) {
+		size = min(size, minCopyBufferBytes)
+		holder.Force(size)
+	}
+	defer holder.Release(size)
+	if length >= 0 {
+		n, err := io.CopyBuffer(w, io.LimitReader(body, length), make([]byte, size))
 		if err == nil && n < length {
 			return errBodyTooShort
 		}
 		return err
 	}
 	if !chunked {
-		_, err := io.Copy(w, body)
+		_, err := io.CopyBuffer(w, onlyReader{body}, make([]byte, size))
 		return err
 	}
-	buf := make([]byte, 16<<10)
+	buf := make([]byte, size/2) // the other half is for the chunk
 	var chunk []byte
 	for {
 		n, err := body.Read(buf)
@@ -123,12 +141,25 @@
 	return append(out, '\r', '\n')
 }
 
+// onlyReader hides WriteTo, which would ignore the buffer of a copy.
+type onlyReader struct{ io.Reader }
+
+// maxWrite is the size in bytes of the parts in which a large body is written, so that a client that reads
+// slowly can be told from one that does not read.
+const maxWrite = 64 << 10
+
 // stallTimeoutWriter applies the stall timeout to each write, so that a large body may take longer
-// than the timeout in total.
-type stallTimeoutWriter struct{ nc net.Conn }
+// than the timeout in total, and measures the progress of the client.
+type stallTimeoutWriter struct {
+	nc     net.Conn
+	holder *holding.Holder
+}
 
 // Write implements io.Writer.
 func (w stallTimeoutWriter) Write(p []byte) (int, error) {
 	_ = w.nc.SetWriteDeadline(time.Now().Add(writeStallTimeout)) // fails only on a closed connection, which the write reports
-	return w.nc.Write(p)
+	w.holder.Wait(holding.Sending)
+	n, err := w.nc.Write(p)
+	w.holder.Progress(holding.Sending, n)
+	return n, err
 }
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -10,9 +10,12 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 	"github.com/bilberrydeck/bilberrydeck/internal/tcpopt"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 	"github.com/bilberrydeck/bilberrydeck/platform"
+	"github.com/bilberrydeck/bilberrydeck/settings"
 )
 
 const (
@@ -48,6 +51,7 @@
 type FleetOptions struct {
 	Settings string            // path of the platform's settings file
 	Dial     map[string]string // address to dial by advertised address; only for those that differ
+	Limits   settings.Limits   // of what is held for clients
 	Reload   <-chan os.Signal  // signals that the settings file has changed
 	Logger   *logging.Logger
 }
@@ -65,16 +69,17 @@
 	return tcpopt.Dialer(controlConnectTimeout).DialContext(ctx, "tcp", o.dialAddress(address))
 }
 
-// serveHTTP serves a handler until ctx is cancelled. It adds its goroutines to wg; they end after
-// the listener is closed.
-func serveHTTP(ctx context.Context, wg *sync.WaitGroup, address string, h http.Handler, logger *logging.Logger) error {
+// serveHTTP serves a handler until ctx is cancelled. The ledger accounts for its connections. It adds its
+// goroutines to wg; they end after the listener is closed.
+func serveHTTP(ctx context.Context, wg *sync.WaitGroup, address string, h http.Handler, ledger *holding.Ledger, logger *logging.Logger) error {
 	l, err := tcpopt.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	limited := httphold.Limit(server, l, ledger, holding.Clients)
 	wg.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error().Str("address", address).Err(err).Msg("listener failed")
 		}
 	})
@@ -111,6 +116,7 @@
 type fleetProcess struct {
 	FleetOptions
 	settings platform.Settings
+	ledger   *holding.Ledger // of what the process holds for clients
 }
 
 // newFleetProcess reads the settings and configures the garbage collector.
@@ -119,5 +125,5 @@
 	if err == nil {
 		tuneFleetMemory(s.MemoryBytes)
 	}
-	return fleetProcess{o, s}, err
+	return fleetProcess{FleetOptions: o, settings: s}, err
 }
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -157,5 +157,5 @@
 	if err != nil {
 		return err
 	}
-	return serveHTTP(ctx, wg, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.Logger), p.Logger)
+	return serveHTTP(ctx, wg, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.Logger), nil, p.Logger)
 }
--- a/process/fleet_daemon.go
+++ b/process/fleet_daemon.go
@@ -56,7 +56,7 @@
 		IngressAddress: s.IngressAddress, PeerAddress: s.PeerAddress, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
 		Region: s.Region, AvailabilityZone: s.AvailabilityZone, HeaderNames: platform.HeaderNames(),
 		RetryBudget: forward.RetryBudgetConfig{Ratio: s.RetryRatio * retryBudgetFraction, MinRetries: s.MinRetries * retryBudgetFraction, Window: s.RetryWindow},
-		BufferBytes: responseBufferBytes(s.MemoryBytes), ShutdownGracePeriod: s.ShutdownGracePeriod, Now: monotonic.Now, Seed: newSeed(), Logger: d.Logger, ResolvePeer: d.dialAddress,
+		BufferBytes: responseBufferBytes(s.MemoryBytes), Held: d.heldLimits(), ShutdownGracePeriod: s.ShutdownGracePeriod, Now: monotonic.Now, Seed: newSeed(), Logger: d.Logger, ResolvePeer: d.dialAddress,
 	})
 	if err != nil {
 		return err
@@ -74,10 +74,10 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	if err := serveHTTP(runCtx, &wg, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), d.Logger); err != nil {
+	if err := serveHTTP(runCtx, &wg, d.settings.ReadyAddress, platform.ReadyHandler(d.forwarder.Ready), newLocalLedger(), d.Logger); err != nil {
 		return err
 	}
-	if err := serveHTTP(runCtx, &wg, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), d.Logger); err != nil {
+	if err := serveHTTP(runCtx, &wg, d.settings.ControlAddress, platform.UpstreamHandler(d.forwarder), newLocalLedger(), d.Logger); err != nil {
 		return err
 	}
 	if err := d.serveMetrics(runCtx, &wg, d.forwarder.WriteMetrics); err != nil {
@@ -86,6 +86,7 @@
 	unknown := time.AfterFunc(unknownUpstreamTimeout, d.announceNoUpstream)
 	defer unknown.Stop()
 	wg.Go(func() { d.agent.Run(runCtx) })
+	wg.Go(func() { watchHeld(runCtx, d.forwarder.Held, d.Logger) })
 	wg.Go(func() { platform.WatchSettings(runCtx, d.Settings, d.Reload, d.Logger, d.applySettings) })
 	d.forwarder.Run(ctx)
 	cancel()
--- a/process/fleet_metrics.go
+++ b/process/fleet_metrics.go
@@ -24,7 +24,7 @@
 			p.Logger.Warn().Err(err).Msg("metrics could not be written")
 		}
 	})
-	return serveHTTP(ctx, wg, p.settings.MetricsAddress(), mux, p.Logger)
+	return serveHTTP(ctx, wg, p.settings.MetricsAddress(), mux, newLocalLedger(), p.Logger)
 }
 
 // controlMetrics returns a function that writes the metrics of a control replica. Gauges are
--- a/process/fleet_test.go
+++ b/process/fleet_test.go
@@ -20,7 +20,7 @@
 	for range 200 {
 		var wg sync.WaitGroup
 		ctx, cancel := context.WithCancel(context.Background())
-		require.NoError(t, serveHTTP(ctx, &wg, address, http.NotFoundHandler(), logging.New(io.Discard)))
+		require.NoError(t, serveHTTP(ctx, &wg, address, http.NotFoundHandler(), nil, logging.New(io.Discard)))
 		cancel()
 		wg.Wait()
 	}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -19,7 +19,8 @@
 	Relay            *Relay           // nil if this daemon is not a relay
 	Controls         []string         // control replicas that store the claims of requests with a key; 1 to 7
 	LinkBudgets      map[string]int64 // bytes per second that this daemon may send to another region; an absent region receives no traffic
-	TLS              *TLS             // nil for loopback only
+	Limits           Limits
+	TLS              *TLS // nil for loopback only
 	Log              Log
 }
 
@@ -88,6 +89,7 @@
 	d.Controls = boundedAddresses(top, "controls", maxControls)
 	d.LinkBudgets = readLinkBudgets(top, d.Region)
 	d.Relay = readRelay(top, d)
+	d.Limits = readLimits(top)
 	top.Close()
 	return d, r.file.Problems()
 }
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -3,7 +3,8 @@
 // Fleet holds the settings of a fleet process that the platform's settings file does not
 // contain.
 type Fleet struct {
-	Dial map[string]string // address to dial by advertised address, where they differ; usually empty
+	Dial   map[string]string // address to dial by advertised address, where they differ; usually empty
+	Limits Limits
 }
 
 // LoadFleet reads and validates a file of Fleet settings. It returns valid settings with
@@ -16,7 +17,7 @@
 	if top == nil {
 		return Fleet{}, r.file.Problems()
 	}
-	f := Fleet{Dial: readDial(top)}
+	f := Fleet{Dial: readDial(top), Limits: readLimits(top)}
 	top.Close()
 	return f, r.file.Problems()
 }
