platform, fleet: crowds of operators do not use up the memory of control

What callers saw: a control process to which many clients sent configurations of legal size, most of them one byte short, or that many asked for a large configuration, took several times the memory of its VM.

Cause: the body of a change was read into memory whatever the others took, and each read of the configuration got an inflated copy of its own, which stayed as long as its client took to read it.

Ruled out: the handling of complete changes; the crowds have few of them, and the memory grew before their end.

Change: the operators' listener has a ledger. All reads of a version share its text.

--- a/fleet/config_api.go
+++ b/fleet/config_api.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"io"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -88,7 +89,8 @@
 	readPollInterval = 20 * time.Millisecond
 )
 
-// GetConfig returns the text of the newest configuration, nil if there is none. The error is an
+// GetConfig returns the text of the newest configuration, nil if there is none. All readers of a version
+// share the text, which must not be changed: a reader may hold it for long. The error is an
 // *UnavailableError if no quorum confirms within the deadline of ctx that it is the newest.
 func (s *SessionServer) GetConfig(ctx context.Context) ([]byte, error) {
 	for {
@@ -106,7 +108,29 @@
 	if doc == nil {
 		return nil, nil
 	}
-	return InflateDocument(doc)
+	return s.inflated.text(doc)
+}
+
+// inflatedDocument holds the text of the document that was read last.
+type inflatedDocument struct {
+	mu     sync.Mutex // held while a document is inflated, so that this happens once
+	source *api.RoutingDocument
+	cached []byte
+}
+
+// text returns the text of a document.
+func (d *inflatedDocument) text(doc *api.RoutingDocument) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.source == doc {
+		return d.cached, nil
+	}
+	text, err := InflateDocument(doc)
+	if err != nil {
+		return nil, err
+	}
+	d.source, d.cached = doc, text
+	return text, nil
 }
 
 // InflateDocument returns the uncompressed text of a routing document.
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -39,10 +39,11 @@
 
 // SessionServer serves the sessions of daemons at one control replica.
 type SessionServer struct {
-	control *control.Server
-	log     *log.Logger
-	clock   func() time.Time
-	leader  leaderClient
+	inflated inflatedDocument
+	control  *control.Server
+	log      *log.Logger
+	clock    func() time.Time
+	leader   leaderClient
 
 	mu            sync.Mutex
 	sessions      map[string]*daemonSession // by peer address; only sessions that announced a member
--- a/process/fleet_control.go
+++ b/process/fleet_control.go
@@ -14,6 +14,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/control"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/core/statemachine"
 	"github.com/bilberrydeck/bilberrydeck/fleet"
 	"github.com/bilberrydeck/bilberrydeck/internal/monotonic"
@@ -46,6 +47,10 @@
 	s := &p.settings
 	p.Logger.Info().Str("vm", s.VM).Str("address", s.ReplicaAddress()).Str("availability_zone", s.AvailabilityZone).
 		Bool("first_start", s.FirstStart).Strs("seeds", s.Seeds).Int("losses", s.ToleratedFailures).Msg("control started")
+	p.ledger = holding.NewLedger(p.heldLimits(), monotonic.Now)
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go watchHeld(watchCtx, p.ledger.Usage, p.Logger)
 	for {
 		err = p.runReplica(ctx)
 		if ctx.Err() != nil || !p.prepareRestart(ctx, err) {
@@ -111,7 +116,7 @@
 	if err := p.serveOperators(ctx, &wg, service); err != nil {
 		return err
 	}
-	if err := p.serveMetrics(ctx, &wg, controlMetrics(server, service)); err != nil {
+	if err := p.serveMetrics(ctx, &wg, controlMetrics(server, service, p.ledger)); err != nil {
 		return err
 	}
 	wg.Go(func() { service.Run(ctx) })
@@ -157,5 +162,5 @@
 	if err != nil {
 		return err
 	}
-	return serveHTTP(ctx, wg, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.Logger), nil, p.Logger)
+	return serveHTTP(ctx, wg, p.settings.ControlAddress, platform.OperatorHandler(service, number, p.ledger, p.Logger), p.ledger, p.Logger)
 }
--- a/process/fleet_metrics.go
+++ b/process/fleet_metrics.go
@@ -10,6 +10,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"github.com/bilberrydeck/bilberrydeck/control"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/core/raft"
 	"github.com/bilberrydeck/bilberrydeck/fleet"
 	"github.com/bilberrydeck/bilberrydeck/platform"
@@ -38,8 +39,13 @@
 //	bilberry_confirmation_age_seconds         time since a quorum confirmed that nothing newer was committed; -1 if never
 //	bilberry_configuration_number             version of the current configuration
 //	bilberry_sessions                         daemons with a control session at this replica
+//	bilberry_held_bytes                       memory that is held for operators
+//	bilberry_held_bytes_limit                 its limit
+//	bilberry_client_connections               connections that operators have opened
+//	bilberry_clients_evicted_total            operators that were asked to go since they made too little progress
+//	bilberry_clients_refused_total            connections and parts of bodies for which there was no room
 //	bilberry_messages_dropped_total           replication messages dropped because a queue was full
-func controlMetrics(server *control.Server, service *fleet.SessionServer) func(io.Writer) error {
+func controlMetrics(server *control.Server, service *fleet.SessionServer, ledger *holding.Ledger) func(io.Writer) error {
 	set := vm.NewSet()
 	for name, value := range map[string]func() float64{
 		"bilberry_replica_term":             func() float64 { return float64(server.RaftStatus().Term) },
@@ -50,6 +56,11 @@
 		"bilberry_confirmation_age_seconds": func() float64 { return secondsOrUnknown(server.ConfirmationAge()) },
 		"bilberry_configuration_number":     func() float64 { return float64(service.ConfigVersion()) },
 		"bilberry_sessions":                 func() float64 { return float64(service.Sessions()) },
+		"bilberry_held_bytes":               func() float64 { return float64(ledger.Usage().Bytes) },
+		"bilberry_held_bytes_limit":         func() float64 { return float64(ledger.Usage().BytesLimit) },
+		"bilberry_client_connections":       func() float64 { return float64(ledger.Usage().Clients) },
+		"bilberry_clients_evicted_total":    func() float64 { return float64(ledger.Usage().Evicted) },
+		"bilberry_clients_refused_total":    func() float64 { return float64(ledger.Usage().Refused) },
 		"bilberry_messages_dropped_total":   func() float64 { return float64(server.DroppedMessages()) },
 	} {
 		set.NewGauge(name, value)
