daemon: crowds of clients do not use up the memory of a daemon

What callers saw: the daemon of the product's own interface took three times its memory when clients opened many requests on few connections of HTTP/2 and did not end their bodies. When idle clients or slow readers held all descriptors, no other caller was served until their timeouts.

HTTP/2 adds a megabyte of unread bodies for each connection and 250 requests on it.

Ruled out: HTTP/1 with many descriptors, where 1500 clients stayed below 95 MiB.

Change: ingress, egress and peer listener charge connections, heads, bodies and responses to one ledger; a connection of HTTP/2 carries at most 100 requests and 64 KiB of unread bodies; outgoing connections are charged, and idle ones are closed when connections are short. Rejections are not-run (no-memory) with Retry-After; a body that stalls is slow-body, as before its own timeout.

Why it works: each request takes its share before it is read any further, and idle or stalled clients give way to new ones.

--- a/daemon/call.go
+++ b/daemon/call.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/core/retry"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -28,6 +29,7 @@
 	host            string
 	header          http.Header // of the request, read only
 	body            *requestBody
+	held            *httphold.Request // is charged with what the call takes
 	configVersion   uint64
 	triedUpstreams  []string
 	fromIngress     bool // received from a client, not from the local upstream
@@ -245,8 +247,9 @@
 	announced := parseLength(a.response.header.Get(headerPeerLength))
 	var cp *responseCopier
 	if a.response.stream != nil {
-		cp = newResponseCopier(w, c.d.cfg.BodyProgressTimeout, announced)
+		cp = newResponseCopier(w, c.held, c.d.cfg.BodyProgressTimeout, announced)
 	}
+	holdResponse(c.held, a.response)
 	c.writeHeader(w, a, announced)
 	var copyFailure *chain.Failure
 	if cp != nil {
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -51,6 +52,8 @@
 	Now        func() time.Time
 	Seed       uint64
 
+	Held holding.Limits // of what is held for clients and other daemons; a limit of 0 is none
+
 	QueuePerSlot        int           // length of the admission queue in multiples of the slots, default 4
 	DrainDelay          time.Duration // from the start of a drain until the ingress is closed, default 2 s
 	BodyProgressTimeout time.Duration // maximum time without progress of a body, default 10 s
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,7 +16,9 @@
 	"github.com/bilberrydeck/bilberrydeck/admissionqueue"
 	"github.com/bilberrydeck/bilberrydeck/api"
 	"github.com/bilberrydeck/bilberrydeck/core/admission"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/core/retry"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -31,6 +33,7 @@
 	admissionLevels  *admission.LevelAggregator
 	rejectionLimiter *retry.RejectionLimiter
 	peerScheme       string
+	ledger           *holding.Ledger
 
 	snapshotMu     sync.Mutex // serializes SetSnapshot and the start of a drain; guards serviceClients
 	snapshot       atomic.Pointer[compiledSnapshot]
@@ -91,7 +94,7 @@
 	d := &Daemon{
 		cfg: cfg, log: cfg.Logger, metrics: newMetrics(), requestIDs: newRequestIDGenerator(cfg.Seed, cfg.Incarnation, cfg.ID),
 		chainHandles: newChainHandles(), admissionLevels: &admission.LevelAggregator{}, rejectionLimiter: retry.NewRejectionLimiter(retry.RejectionLimiterConfig{}),
-		peerScheme: "http", serviceClients: make(map[string]*serviceClient), drainStarted: make(chan struct{}),
+		ledger: holding.NewLedger(cfg.Held, cfg.Now), peerScheme: "http", serviceClients: make(map[string]*serviceClient), drainStarted: make(chan struct{}),
 		claimSlots: make(chan struct{}, maxBackgroundClaims), healthClient: &http.Client{Transport: newUpstreamTransport(1)},
 		stateSequence: 1,
 	}
@@ -99,6 +102,7 @@
 		d.peerScheme = "https"
 	}
 	d.state.Store(int32(api.UpstreamState_UPSTREAM_STATE_STARTING))
+	d.ledger.OnShortage(d.closeIdleConnections)
 	d.killed, d.kill = context.WithCancel(context.Background())
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -131,18 +135,21 @@
 		handler http.Handler
 		tls     *tls.Config
 		http2   bool
+		ledger  *holding.Ledger // nil for the listener of operators on this VM
+		source  holding.Source
 	}{
-		{&d.listeners.ingress, d.cfg.IngressAddress, http.HandlerFunc(d.serveIngress), d.cfg.IngressTLS, true},
-		{&d.listeners.egress, d.cfg.EgressAddress, http.HandlerFunc(d.serveEgress), nil, true},
-		{&d.listeners.peer, d.cfg.PeerListenAddress, http.HandlerFunc(d.servePeer), d.cfg.ServerTLS, false},
-		{&d.listeners.admin, d.cfg.AdminAddress, d.adminHandler(), nil, false},
+		{&d.listeners.ingress, d.cfg.IngressAddress, http.HandlerFunc(d.serveIngress), d.cfg.IngressTLS, true, d.ledger, holding.Clients},
+		{&d.listeners.egress, d.cfg.EgressAddress, http.HandlerFunc(d.serveEgress), nil, true, d.ledger, holding.Peers},
+		{&d.listeners.peer, d.cfg.PeerListenAddress, http.HandlerFunc(d.servePeer), d.cfg.ServerTLS, false, d.ledger, holding.Peers},
+		{&d.listeners.admin, d.cfg.AdminAddress, d.adminHandler(), nil, false, nil, holding.Clients},
 	} {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
 			d.closeListeners()
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
-		*s.server = server{listener, newServer(s.handler, s.tls, s.http2)}
+		limited := newServer(s.handler, s.tls, s.http2)
+		*s.server = server{httphold.Limit(limited, listener, s.ledger, s.source), limited}
 	}
 	return nil
 }
@@ -150,6 +157,13 @@
 // readHeaderTimeout is the time within which a client must send the request headers.
 const readHeaderTimeout = 10 * time.Second
 
+const (
+	// maxStreams is the number of requests at the same time on a connection of HTTP/2.
+	maxStreams = 100
+	// maxUnreadBytes is how much of the bodies on a connection of HTTP/2 is received before it is read.
+	maxUnreadBytes = 64 << 10
+)
+
 func newServer(h http.Handler, tlsConfig *tls.Config, http2 bool) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -162,6 +176,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    hardMaxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes},
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // discarded: a client can cause any number of lines
 	}
 }
--- a/daemon/ingress.go
+++ b/daemon/ingress.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 )
 
 // serveIngress handles a request of a client.
@@ -36,7 +37,8 @@
 
 // serveCall parses a request, forwards it as a call and responds.
 func (d *Daemon) serveCall(w http.ResponseWriter, r *http.Request, prepare prepareFunc) {
-	c := &call{d: d, receivedAt: d.cfg.Now(), method: r.Method, host: r.Host, header: r.Header}
+	c := &call{d: d, receivedAt: d.cfg.Now(), method: r.Method, host: r.Host, header: r.Header, held: httphold.BeginRequest(d.ledger, w)}
+	defer c.held.End()
 	if rejection, ok := d.prepareCall(c, w, r, prepare); !ok {
 		d.recordOverloadRejection(c, r, rejection.failure, c.receivedAt)
 		d.rejectCall(w, c, rejection)
@@ -67,7 +69,7 @@
 func abortResponse(w http.ResponseWriter, r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
 				_ = tcp.SetLinger(0) // fails only on a closed connection
 			}
 			_ = conn.Close() // as above
@@ -88,6 +90,9 @@
 
 // prepareCall parses a request. It returns false and the response if the request is rejected.
 func (d *Daemon) prepareCall(c *call, w http.ResponseWriter, r *http.Request, prepare prepareFunc) (errorResponse, bool) {
+	if !c.held.ReserveSmall(heldBytes(r)) {
+		return errorResponse{failure: noMemoryFailure()}, false
+	}
 	active, failure := d.confirmedSnapshot()
 	if failure != nil {
 		return errorResponse{failure: failure}, false
@@ -109,7 +114,7 @@
 	if c.metadata.IdempotencyKey, failure = c.idempotencyKey(r); failure != nil {
 		return errorResponse{failure: failure}, false
 	}
-	c.body, failure = newRequestBody(w, r, c.route.maxBody, d.cfg.BodyProgressTimeout)
+	c.body, failure = newRequestBody(w, r, c.held, c.route.maxBody, d.cfg.BodyProgressTimeout)
 	return errorResponse{failure: failure}, failure == nil
 }
 
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -8,7 +8,10 @@
 	// doubles the latency that it adds at p99.
 	gcPercent = 800
 
-	// memoryLimitBytes keeps the heap below the 128 MB that a daemon may use on a VM.
+	// VMMemoryBytes is the memory that a daemon may use on a VM.
+	VMMemoryBytes = 128 << 20
+
+	// memoryLimitBytes keeps the heap below VMMemoryBytes.
 	memoryLimitBytes = 96 << 20
 )
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -92,6 +92,13 @@
 		}
 		return 0
 	})
+	add("held", func() any {
+		u := d.ledger.Usage()
+		return map[string]int64{
+			"bytes": u.Bytes, "bytes_limit": u.BytesLimit, "client_connections": u.Clients, "peer_connections": u.Peers,
+			"outgoing_connections": u.Outgoing, "connections_limit": u.Connections, "clients_evicted": u.Evicted, "clients_refused": u.Refused,
+		}
+	})
 	add("state", func() any { return stateName(d.State()) })
 	add("gate", func() any {
 		queue := d.admissionQueue.Load()
--- a/daemon/peer_server.go
+++ b/daemon/peer_server.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrydeck/bilberrydeck/core/admission"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
 	"github.com/bilberrydeck/bilberrydeck/declaration"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 	"github.com/bilberrydeck/bilberrydeck/logging"
 )
 
@@ -25,12 +26,14 @@
 	route          *route
 	admissionQueue *admissionqueue.Queue
 	body           *requestBody
+	held           *httphold.Request // is charged with what the attempt takes
 }
 
 // servePeer handles an attempt from another daemon.
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
 	d.metrics.peerAttempts.Add(1)
-	in := &inboundAttempt{d: d, w: w, r: r, receivedAt: d.cfg.Now()}
+	in := &inboundAttempt{d: d, w: w, r: r, receivedAt: d.cfg.Now(), held: httphold.BeginRequest(d.ledger, w)}
+	defer in.held.End()
 	h := w.Header()
 	h[headerRequestID] = r.Header[headerRequestID]
 	if d.draining.Load() {
@@ -64,6 +67,9 @@
 		return failure
 	}
 	in.request.metadata.Deadline = in.receivedAt.Add(in.request.remaining)
+	if !in.held.ReserveSmall(heldBytes(in.r)) {
+		return noMemoryFailure()
+	}
 	if in.d.draining.Load() {
 		return chain.NewFailure(chain.NotRun, chain.ReasonDraining, "the upstream is draining")
 	}
@@ -86,7 +92,7 @@
 	if in.route = svc.matchRoute(in.request.method, in.upstreamURL); in.route == nil {
 		return chain.NewFailure(chain.NotRun, chain.ReasonUnknownRoute, "no declared route matches")
 	}
-	in.body, failure = newRequestBody(in.w, in.r, in.route.maxBody, in.d.cfg.BodyProgressTimeout)
+	in.body, failure = newRequestBody(in.w, in.r, in.held, in.route.maxBody, in.d.cfg.BodyProgressTimeout)
 	return failure
 }
 
@@ -153,6 +159,7 @@
 func (in *inboundAttempt) respondBuffered(permit *admissionqueue.Permit, parent *parentRequest, result upstreamResult, claimed *claim) {
 	response := result.response
 	unused := in.releasePermit(permit, parent, result.failure)
+	holdResponse(in.held, response)
 	claimed.finish(response.status, response.header.Get("Content-Type"), response.buffered, false)
 	h := in.responseHeader(response, result.failure)
 	h[headerPeerUnusedRetries] = []string{formatInt(unused)}
@@ -182,7 +189,8 @@
 	if response.length >= 0 {
 		h[headerPeerLength] = []string{formatInt(int(response.length))}
 	}
-	cp := newResponseCopier(in.w, in.d.cfg.BodyProgressTimeout, response.length)
+	holdResponse(in.held, response)
+	cp := newResponseCopier(in.w, in.held, in.d.cfg.BodyProgressTimeout, response.length)
 	cp.stored = claimed.newBuffer()
 	in.w.WriteHeader(response.status)
 	copyFailure := response.copyTo(ctx, cp, response.length)
--- a/daemon/request_body.go
+++ b/daemon/request_body.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 )
 
 // maxBufferedBody is the length in bytes up to which a body is read completely before it is
@@ -34,7 +35,7 @@
 
 // newRequestBody buffers a small body and wraps a large one as a stream. A body with
 // "Expect: 100-continue" is not read until it is forwarded.
-func newRequestBody(w http.ResponseWriter, r *http.Request, limit int64, progressTimeout time.Duration) (*requestBody, *chain.Failure) {
+func newRequestBody(w http.ResponseWriter, r *http.Request, held *httphold.Request, limit int64, progressTimeout time.Duration) (*requestBody, *chain.Failure) {
 	b := &requestBody{length: r.ContentLength}
 	if b.length > limit {
 		return nil, chain.NewFailure(chain.NotRun, chain.ReasonTooLarge, "the body exceeds the declared limit")
@@ -43,7 +44,10 @@
 		b.buffered = []byte{}
 		return b, nil
 	}
-	b.stream = &bodyReader{src: r.Body, limit: limit, progressTimeout: progressTimeout, controller: http.NewResponseController(w)}
+	if !held.Reserve(bodyBytes(b.length)) {
+		return nil, noMemoryFailure()
+	}
+	b.stream = &bodyReader{src: held.Body(r.Body), limit: limit, progressTimeout: progressTimeout, controller: http.NewResponseController(w)}
 	if b.length < 0 || b.length > maxBufferedBody || r.Header["Expect"] != nil {
 		return b, nil
 	}
@@ -129,6 +133,8 @@
 	case errors.Is(err, io.EOF):
 		b.clearDeadline()
 		return n, err
+	case errors.Is(err, httphold.ErrEvicted):
+		return n, b.fail(chain.ReasonSlowBody, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return n, b.fail(chain.ReasonSlowBody, err)
 	default:
--- a/daemon/response_copier.go
+++ b/daemon/response_copier.go
@@ -10,12 +10,15 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
+	"github.com/bilberrydeck/bilberrydeck/internal/httphold"
 )
 
 var errShortResponse = errors.New("the response is shorter than its content length")
 
 // responseCopier forwards the body of a response.
 type responseCopier struct {
+	held            *httphold.Request
 	w               http.ResponseWriter
 	controller      *http.ResponseController
 	progressTimeout time.Duration
@@ -29,8 +32,9 @@
 // newResponseCopier returns a copier for a response. It must be called before the headers are
 // written: net/http would otherwise discard the rest of the request body at that time, although an
 // upstream that responds early may still read it.
-func newResponseCopier(w http.ResponseWriter, progressTimeout time.Duration, announced int64) *responseCopier {
-	c := &responseCopier{w: w, controller: http.NewResponseController(w), progressTimeout: progressTimeout, flush: announced < 0}
+func newResponseCopier(w http.ResponseWriter, held *httphold.Request, progressTimeout time.Duration, announced int64) *responseCopier {
+	held.BeginMessage(holding.Sending)
+	c := &responseCopier{held: held, w: w, controller: http.NewResponseController(w), progressTimeout: progressTimeout, flush: announced < 0}
 	_ = c.controller.EnableFullDuplex() // an error means HTTP/2, which is always full duplex
 	return c
 }
@@ -88,10 +92,12 @@
 		c.deadlineSetAt = now
 		_ = c.controller.SetWriteDeadline(now.Add(c.progressTimeout)) // only test recorders do not support it
 	}
+	c.held.Wait(holding.Sending)
 	_, err := c.w.Write(p)
 	if err == nil && c.flush {
 		err = c.controller.Flush()
 	}
+	c.held.Progress(holding.Sending, len(p))
 	if err == nil {
 		return nil
 	}
--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -9,6 +9,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/core/balance"
 	"github.com/bilberrydeck/bilberrydeck/core/chain"
+	"github.com/bilberrydeck/bilberrydeck/core/holding"
 	"github.com/bilberrydeck/bilberrydeck/core/retry"
 	"github.com/bilberrydeck/bilberrydeck/declaration"
 )
@@ -111,7 +112,7 @@
 			return nil, &SnapshotError{s.Version, err.Error()}
 		}
 		svc.client = d.clientFor(name)
-		svc.client.setMaxConnections(d.cfg, declared.MaxConnections)
+		svc.client.setMaxConnections(d.cfg, d.ledger, declared.MaxConnections)
 		next.services[name] = svc
 	}
 	return next, nil
@@ -166,7 +167,7 @@
 
 // setMaxConnections replaces the connection pool if the declared maximum has changed. Requests in
 // flight keep their connections of the old pool.
-func (c *serviceClient) setMaxConnections(cfg Config, maxConnections int) {
+func (c *serviceClient) setMaxConnections(cfg Config, ledger *holding.Ledger, maxConnections int) {
 	c.transportMu.Lock()
 	defer c.transportMu.Unlock()
 	if c.transport != nil && c.maxConnections == maxConnections {
@@ -175,7 +176,7 @@
 	if c.transport != nil {
 		c.transport.CloseIdleConnections()
 	}
-	c.transport = newTransport(cfg.ClientTLS, maxConnections)
+	c.transport = holdConnections(newTransport(cfg.ClientTLS, maxConnections), ledger)
 	c.maxConnections = maxConnections
 }
 
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -40,6 +40,15 @@
 	mu        sync.Mutex // held during each write
 	written   int64
 	abandoned bool
+	giveBack  func() // called once when the connection is closed; nil for none
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	if c.giveBack != nil {
+		c.giveBack()
+	}
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn.
@@ -109,7 +118,7 @@
 // Abandon closes the connection and returns the final count. It closes before it locks the mutex,
 // because closing ends a blocked write.
 func (c *countingConn) Abandon() int64 {
-	_ = c.Conn.Close() // the connection is not used again, so an error does not matter
+	_ = c.Close() // the connection is not used again, so an error does not matter
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.abandoned = true
--- a/daemon/upstream_state.go
+++ b/daemon/upstream_state.go
@@ -122,7 +122,7 @@
 	if old != nil && old.address == address {
 		return
 	}
-	d.local.Store(&localUpstream{address: address, transport: newUpstreamTransport(d.maxLocalConnections)})
+	d.local.Store(&localUpstream{address: address, transport: holdConnections(newUpstreamTransport(d.maxLocalConnections), d.ledger)})
 	if old != nil {
 		old.transport.CloseIdleConnections()
 	}
@@ -138,7 +138,7 @@
 	}
 	d.maxLocalConnections = maxConnections
 	if old := d.local.Load(); old != nil {
-		d.local.Store(&localUpstream{address: old.address, transport: newUpstreamTransport(maxConnections)})
+		d.local.Store(&localUpstream{address: old.address, transport: holdConnections(newUpstreamTransport(maxConnections), d.ledger)})
 		old.transport.CloseIdleConnections()
 	}
 }
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -98,6 +98,7 @@
 		LinkBudget: balance.NewLinkBudget(balance.LinkBudgetConfig{PerRegion: s.LinkBudgets}),
 		Logger:     p.logger,
 		Seed:       newSeed(),
+		Held:       heldLimits(heldSettings(s.Limits), daemon.VMMemoryBytes, 0),
 	}, errors.CombineErrors(serverErr, errors.CombineErrors(clientErr, ingressErr))
 }
 
@@ -139,6 +140,7 @@
 	wg.Go(func() { p.feed.Run(runCtx) })
 	wg.Go(func() { p.applyViews(runCtx) })
 	wg.Go(func() { p.announce(runCtx) })
+	wg.Go(func() { watchHeld(runCtx, p.daemon.Held, p.logger) })
 	defer wg.Wait()
 	defer cancel()
 	defer p.deregister()
