httpwire, httphold: a response that is cut off for want of room is reset

Cause: the eviction of a client that does not read closed its connection in order. A client of HTTP/1.0 whose response has no length takes that for the end of the response. Ruled out: HTTP/1.1, where the missing length or last chunk tells. Change: the connection is reset; what the kernel still holds for the client is dropped with it, which is the point of asking it to go. The same for listeners of net/http.

--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -165,8 +164,8 @@
 	}
 	chunked := x.Request.ProtoAtLeast(1, 1)
 	err := copyBody(out, r.Stream, length, chunked, x.conn.holder)
-	if tcp, ok := nc.(*net.TCPConn); ok && err != nil && length < 0 && !chunked {
-		_ = tcp.SetLinger(0) // a reset, since the client would take an orderly end for that of the body
+	if err != nil && length < 0 && !chunked {
+		x.conn.reset()
 	}
 	return err
 }
--- a/httpwire/held_test.go
+++ b/httpwire/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,9 @@
 		var size int
 		if _, err := fmt.Sscanf(x.Request.URL.Path, "/answer/%d", &size); err == nil {
 			resp.Body = make([]byte, size)
+			if !x.Request.ProtoAtLeast(1, 1) {
+				resp.Stream, resp.Length, resp.Body = bytes.NewReader(resp.Body), -1, nil // without a length
+			}
 			x.Holder().Force(int64(size))
 			defer x.Holder().Release(int64(size))
 		}
@@ -79,20 +83,25 @@
 	require.Eventually(t, func() bool { return ledger.Usage().Bytes == 0 }, testTimeout, time.Millisecond)
 }
 
-// TestUnreadResponseIsCutOff guards against clients that do not read their responses.
+// TestUnreadResponseIsCutOff guards against clients that do not read their responses, and against responses
+// that look complete although they were cut off, also to a client that sees only the end of the connection.
 func TestUnreadResponseIsCutOff(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) { cutOffUnreadResponse(t, version) })
+	}
+}
+
+func cutOffUnreadResponse(t *testing.T, version string) {
 	const size = 32 << 20 // more than the buffers of a connection
 	ledger, address := heldServer(t, holding.Limits{Bytes: size})
-	unread := dialAndSend(t, address, fmt.Sprintf("GET /answer/%d HTTP/1.1\r\nHost: a\r\n\r\n", size))
+	unread := dialAndSend(t, address, fmt.Sprintf("GET /answer/%d HTTP/%s\r\nHost: a\r\n\r\n", size, version))
 	require.Eventually(t, func() bool {
 		c := dialAndSend(t, address, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
 		_, _ = io.Copy(io.Discard, c) // refused while there is no room at all
 		return ledger.Usage().Evicted > 0
 	}, testTimeout, 50*time.Millisecond)
 	require.Eventually(t, func() bool { return ledger.Usage().Bytes == 0 }, testTimeout, time.Millisecond)
-	resp, err := http.ReadResponse(bufio.NewReader(unread), nil)
-	require.NoError(t, err)
-	n, err := io.Copy(io.Discard, resp.Body)
+	n, err := io.Copy(io.Discard, unread)
 	require.Error(t, err, "a response that was cut off must not look complete")
 	require.Less(t, n, int64(size))
 }
--- a/httpwire/serverconn.go
+++ b/httpwire/serverconn.go
@@ -71,6 +71,7 @@
 func (c *serverConn) evict(d holding.Direction) {
 	c.evicted.Store(true)
 	if d == holding.Sending {
+		c.reset()
 		c.abort()
 		return
 	}
@@ -81,6 +82,14 @@
 	c.interruptHead()
 }
 
+// reset makes the close of the connection a reset: a client of HTTP/1.0 would take an orderly end for that
+// of the response, and what the kernel holds for the client is dropped.
+func (c *serverConn) reset() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // interruptHead ends the reading of a head.
 func (c *serverConn) interruptHead() {
 	c.mu.Lock()
--- a/internal/httphold/listener.go
+++ b/internal/httphold/listener.go
@@ -48,8 +48,14 @@
 }
 
 // evict closes the connection: its client holds it without a request, or does not end the head of one, or
-// does not read its response.
-func (c *conn) evict(holding.Direction) { _ = c.Close() } // it is abandoned
+// does not read its response. That is reset, since a client of HTTP/1.0 would take an orderly end for that
+// of the response.
+func (c *conn) evict(d holding.Direction) {
+	if d == holding.Sending {
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close() // it is abandoned
+}
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
