forward: the test of used-up connections does not race with health checks

Ruled out: the product, which behaved as limited: a health check without a connection is inconclusive and marks nothing. Change: the client is connected before the connections are taken. What the test asserts is the same, with one check more.

--- a/forward/held_test.go
+++ b/forward/held_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -93,20 +94,39 @@
 // rejected as not executed, and the upstream does not count as unreachable.
 func TestNoConnectionLeft(t *testing.T) {
 	u := newFakeUpstream(t, "i-1", nil)
-	limits := holding.DescriptorLimits(20)
-	f := newLimitedFleet(t, limits, ordersTable(), u)
+	f := newLimitedFleet(t, holding.DescriptorLimits(20), ordersTable(), u)
 	d := f.daemons[0]
-	for d.ledger.Connect() {
+	ingress, _ := d.ListenAddresses()
+	c, err := net.Dial("tcp", ingress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.Eventually(t, func() bool { return d.Held().Clients == 1 }, testTimeout, time.Millisecond)
+	taken := 0
+	require.Eventually(t, func() bool { // a health check may have one of the connections for a moment
+		for d.ledger.Connect() {
+			taken++
+		}
+		return d.Held().Outgoing == int64(taken)
+	}, testTimeout, time.Millisecond)
+	reader := bufio.NewReader(c)
+	send := func() (*http.Response, string) {
+		_, err := io.WriteString(c, "GET /idempotent/7 HTTP/1.1\r\nHost: shop.example\r\nX-Id: "+nextID()+"\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp, string(body)
 	}
-	d.ledger.Disconnect() // for the client
-	resp, body := f.send(0, testRequest{})
+	resp, body := send()
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Contains(t, body, "not-run (no-memory)")
 	require.False(t, d.local.isUnreachable())
-	d.ledger.Disconnect()
-	d.ledger.Disconnect()
-	resp, _ = f.send(0, testRequest{})
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	for ; taken > 0; taken-- {
+		d.ledger.Disconnect()
+	}
+	resp, body = send()
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
 }
 
 // TestLongUploadsLeaveSlots guards against long bodies whose senders stop: they are passed on as they arrive
