internal/testprogram: one build of the program for tests with real processes

Cause: integration, soak and crowd each built it with code of their own. Ruled out: a shared harness, as the three run different systems. Change: the package; the binary is removed only if it was built.

--- a/crowd/daemon_test.go
+++ b/crowd/daemon_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/http2"
 
 	"github.com/bilberrydeck/bilberrydeck/internal/freeport"
+	"github.com/bilberrydeck/bilberrydeck/internal/testprogram"
 )
 
 // daemonMemoryBytes is the memory that a daemon of the product's own interface may take on a VM.
@@ -78,7 +79,7 @@
 		{"name": "order", "method": "POST", "path": "/order/{size}", "timeout": "60s", "max_body": "1MiB"},
 		{"name": "upload", "method": "POST", "path": "/upload/{size}", "timeout": "60s", "body": "stream"},
 	]}`, upstreamSlots))
-	path, err := binary()
+	path, err := testprogram.Path()
 	require.NoError(s.t, err)
 	var out []byte
 	require.Eventually(s.t, func() bool {
--- a/crowd/fleet_test.go
+++ b/crowd/fleet_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -23,6 +22,7 @@
 
 	"github.com/bilberrydeck/bilberrydeck/core/lifecycle"
 	"github.com/bilberrydeck/bilberrydeck/core/routing"
+	"github.com/bilberrydeck/bilberrydeck/internal/testprogram"
 	"github.com/bilberrydeck/bilberrydeck/platform"
 )
 
@@ -242,24 +242,9 @@
 	}
 }
 
-var binary = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "bilberrydeck-crowd-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(dir, "bilberrydeck")
-	out, err := exec.Command("go", "build", "-o", path, "../cmd/bilberrydeck").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("go build: %w: %s", err, out)
-	}
-	return path, nil
-})
-
 // TestMain runs the tests and removes the program that they built.
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := binary(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path)) // created by the tests
-	}
+	testprogram.Remove()
 	os.Exit(code)
 }
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/internal/testprogram"
 )
 
 // process is one process of the program under test. It records how much it holds.
@@ -34,7 +36,7 @@
 
 // startLimitedProcess starts the program with a limit of descriptors that the kernel enforces, 0 for none.
 func startLimitedProcess(t *testing.T, descriptors int, args ...string) *process {
-	path, err := binary()
+	path, err := testprogram.Path()
 	require.NoError(t, err)
 	cmd := exec.Command(path, args...)
 	if descriptors > 0 {
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,43 +11,26 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrydeck/bilberrydeck/internal/testprogram"
 )
 
 // waitTimeout bounds each wait for a condition. It is long enough that a test which
 // reaches it has failed, however slow the machine is.
 const waitTimeout = 60 * time.Second
 
-var binary struct {
-	sync.Once
-	path string
-	err  error
-}
-
 // TestMain runs the tests and removes the binary that they built.
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if binary.path != "" {
-		_ = os.RemoveAll(filepath.Dir(binary.path))
-	}
+	testprogram.Remove()
 	os.Exit(code)
 }
 
 // build compiles the program once for all tests and returns the path of the binary.
 func build(t testing.TB) string {
-	binary.Do(func() {
-		dir, err := os.MkdirTemp("", "bilberrydeck-test-")
-		if err != nil {
-			binary.err = err
-			return
-		}
-		binary.path = filepath.Join(dir, "bilberrydeck")
-		out, err := exec.Command("go", "build", "-o", binary.path, "../cmd/bilberrydeck").CombinedOutput()
-		if err != nil {
-			binary.err = fmt.Errorf("go build: %w: %s", err, out)
-		}
-	})
-	require.NoError(t, binary.err)
-	return binary.path
+	path, err := testprogram.Path()
+	require.NoError(t, err)
+	return path
 }
 
 // process is one operating system process of the program under test.
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrydeck/bilberrydeck/internal/faultproxy"
+	"github.com/bilberrydeck/bilberrydeck/internal/testprogram"
 	"github.com/bilberrydeck/bilberrydeck/platform"
 )
 
@@ -82,24 +83,9 @@
 	shutdownStart time.Time // start of the graceful shutdown in progress, zero if there is none
 }
 
-var binary = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "bilberrydeck-soak-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(dir, "bilberrydeck")
-	out, err := exec.Command("go", "build", "-o", path, "../cmd/bilberrydeck").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("go build: %w: %s", err, out)
-	}
-	return path, nil
-})
-
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := binary(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path)) // created by the tests
-	}
+	testprogram.Remove()
 	os.Exit(code)
 }
 
@@ -182,7 +168,7 @@
 
 // start starts the process of the VM.
 func (v *vm) start() {
-	path, err := binary()
+	path, err := testprogram.Path()
 	require.NoError(v.cluster.t, err)
 	log, err := os.OpenFile(v.path(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(v.cluster.t, err)
