core/holding: a test of concurrent clients

Cause: reading the code again, the fields of a new connection seemed to be written after a search for clients to go could read them. Ruled out: a data race; a search reads them only of holders that are idle or wait, which is recorded atomically afterwards (the race detector, with a search at each shortage, finds none). Change: the test, and a comment at that place.

--- a/core/holding/ledger.go
+++ b/core/holding/ledger.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	h := l.Begin(evict)
-	h.connection, h.source = true, source
+	h.connection, h.source = true, source // not read before the holder is idle or waits, which its user records later
 	h.held.Store(connectionBytes)
 	if n > pressure(l.limits.Accepted[source]) || l.connections() > pressure(l.limits.Connections) || l.pressed() {
 		l.relieve()
--- a/core/holding/ledger_test.go
+++ b/core/holding/ledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -231,3 +233,40 @@
 	none.Release(1)
 	none.Close()
 }
+
+// TestConcurrentClients runs clients that connect, take memory and leave while others do, near the limits,
+// for the race detector. All is given back in the end.
+func TestConcurrentClients(t *testing.T) {
+	limits := DescriptorLimits(200)
+	limits.Bytes = 1_000_000
+	var readings atomic.Int64
+	l := NewLedger(limits, func() time.Time { return time.Unix(0, readings.Add(1)*int64(reliefInterval)) }) // each shortage is searched
+	l.OnShortage(func() {})
+	var clients sync.WaitGroup
+	for range 8 {
+		clients.Go(func() {
+			for range 2000 {
+				c := connect(l, Clients)
+				if l.Connect() {
+					l.Disconnect()
+				}
+				if c.holder == nil {
+					continue
+				}
+				c.holder.SetIdle(true)
+				c.holder.SetIdle(false)
+				c.holder.BeginMessage(Receiving)
+				c.holder.Wait(Receiving)
+				if c.holder.Reserve(100_000) {
+					c.holder.Progress(Receiving, 1)
+				}
+				c.holder.Force(100)
+				c.holder.Close()
+			}
+		})
+	}
+	clients.Wait()
+	require.Zero(t, l.Usage().Bytes)
+	require.Zero(t, l.Usage().Clients)
+	require.Zero(t, l.Usage().Outgoing)
+}
